--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everyday commands. `make build` once, then `make demo`; `make test` proves.
-MODULES := common control gateway lab schema sidecar toucanctl
+MODULES := common control gateway lab platform schema sidecar toucanctl
 LINT := GOWORK=off go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
 .PHONY: reference setup build test lint format generate demo up bench soak
--- a/common/pkg/control/client.go
+++ b/common/pkg/control/client.go
@@ -39,6 +39,9 @@
 	Jobs      toucanhingev1connect.JobServiceClient
 	Work      toucanhingev1connect.WorkServiceClient
 	Operators toucanhingev1connect.OperatorServiceClient
+	Core      toucanhingev1connect.CoreServiceClient
+
+	http *http.Client
 }
 
 // Config describes the client.
@@ -46,6 +49,12 @@
 	// Addresses of the control VMs, IP:port.
 	Addresses []string
 	HTTP      *http.Client
+	// Fresh, if set, makes a client for each control VM in place of HTTP. It is
+	// made anew after a call without an answer: a connection that went silent
+	// without a reset would else swallow every call until a ping notices.
+	Fresh func() *http.Client
+	// AttemptTimeout ends one try; 0 means two seconds.
+	AttemptTimeout time.Duration
 	// Retried counts retries by place and reason; may be nil.
 	Retried *prometheus.CounterVec
 }
@@ -61,6 +70,9 @@
 
 // New makes a client; it connects on first use.
 func New(config Config) *Client {
+	if config.AttemptTimeout == 0 {
+		config.AttemptTimeout = attemptTimeout
+	}
 	return &Client{config: config, replicas: map[string]*Replica{}, leaders: map[uint32]string{}}
 }
 
@@ -74,12 +86,18 @@
 	url := "http://" + address
 	// Without this, control would compress each answer, however small.
 	plain := connect.WithAcceptCompression("gzip", nil, nil)
+	client := c.config.HTTP
+	if c.config.Fresh != nil {
+		client = c.config.Fresh()
+	}
 	r := &Replica{
 		Address:   address,
-		Fleet:     toucanhingev1connect.NewFleetServiceClient(c.config.HTTP, url, plain),
-		Jobs:      toucanhingev1connect.NewJobServiceClient(c.config.HTTP, url, plain),
-		Work:      toucanhingev1connect.NewWorkServiceClient(c.config.HTTP, url, plain),
-		Operators: toucanhingev1connect.NewOperatorServiceClient(c.config.HTTP, url, plain),
+		Fleet:     toucanhingev1connect.NewFleetServiceClient(client, url, plain),
+		Jobs:      toucanhingev1connect.NewJobServiceClient(client, url, plain),
+		Work:      toucanhingev1connect.NewWorkServiceClient(client, url, plain),
+		Operators: toucanhingev1connect.NewOperatorServiceClient(client, url, plain),
+		Core:      toucanhingev1connect.NewCoreServiceClient(client, url, plain),
+		http:      client,
 	}
 	c.replicas[address] = r
 	return r
@@ -90,6 +108,29 @@
 	return c.Replica(c.next())
 }
 
+// SetAddresses replaces the control VMs that are asked. Daemons on VMs that come
+// and go learn the present ones from any of them.
+func (c *Client) SetAddresses(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(addresses) > 0 {
+		c.config.Addresses = addresses
+	}
+}
+
+// drop forgets the connections to a control VM that gave no answer.
+func (c *Client) drop(r *Replica) {
+	if c.config.Fresh == nil {
+		return
+	}
+	c.mu.Lock()
+	if c.replicas[r.Address] == r {
+		delete(c.replicas, r.Address)
+	}
+	c.mu.Unlock()
+	r.http.CloseIdleConnections()
+}
+
 func (c *Client) next() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -123,7 +164,7 @@
 	hops := 0
 	for {
 		replica := c.Leader(group)
-		tryCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		tryCtx, cancel := context.WithTimeout(ctx, c.config.AttemptTimeout)
 		answer, err := call(tryCtx, replica)
 		cancel()
 		if err == nil {
@@ -131,6 +172,9 @@
 			return answer, nil
 		}
 		reason, again := c.blame(group, err)
+		if reason == reasonUnreachable {
+			c.drop(replica)
+		}
 		if !again || ctx.Err() != nil {
 			return answer, fmt.Errorf("%s at %s: %w", place, replica.Address, err)
 		}
--- /dev/null
+++ b/common/pkg/digest/exchange.go
@@ -0,0 +1,199 @@
+// Package digest exchanges load digests between daemons by UDP. A digest is
+// small, goes out a few milliseconds after a change and replaces the one before,
+// so a lost datagram is made good by the next.
+package digest
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/occupancy"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+const (
+	// gather is how long a change waits for others, so that a burst of requests
+	// costs one datagram to each daemon instead of one for each request. Runners
+	// need some 10 ms to a first token, so a picture 4 ms old places as well.
+	gather = 4 * time.Millisecond
+	// mostBytes is the largest UDP payload.
+	mostBytes = 64 << 10
+)
+
+// Config describes an exchange.
+type Config struct {
+	// Address to listen on, IP:port.
+	Address string
+	// Source names this daemon to the others.
+	Source string
+	Clock  clock.Clock
+	Logger log.Logger
+	// Version is the routing table in force here.
+	Version func() uint64
+	// Heard is told after a digest of another daemon came in, with the routing
+	// table in force there; may be nil.
+	Heard func(version uint64)
+}
+
+// Exchange holds the occupancy table, and tells the own part of it.
+type Exchange struct {
+	config   Config
+	socket   *net.UDPConn
+	epoch    uint64
+	sequence uint64
+	dirty    chan struct{}
+
+	mu    sync.Mutex
+	table *occupancy.Table
+	peers []netip.AddrPort
+}
+
+// Listen takes the address.
+func Listen(config Config) (*Exchange, error) {
+	address, err := net.ResolveUDPAddr("udp4", config.Address)
+	if err != nil {
+		return nil, fmt.Errorf("address for load digests: %w", err)
+	}
+	socket, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for load digests: %w", err)
+	}
+	return &Exchange{
+		config: config, socket: socket, epoch: uint64(config.Clock.Now()),
+		dirty: make(chan struct{}, 1), table: occupancy.New(),
+	}, nil
+}
+
+// SetPeers replaces the addresses that get the digests. The own one is left out.
+func (x *Exchange) SetPeers(addresses []string) {
+	var peers []netip.AddrPort
+	for _, a := range addresses {
+		peer, err := netip.ParseAddrPort(a)
+		if err != nil {
+			level.Warn(x.config.Logger).Log(logs.KeyEvent, "digest-peer-unreadable", "address", a, logs.KeyError, err)
+			continue
+		}
+		if a != x.config.Address {
+			peers = append(peers, peer)
+		}
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.peers = peers
+}
+
+// Add counts own work that begins, or ends with negative numbers.
+func (x *Exchange) Add(runner string, change occupancy.Load) {
+	x.mu.Lock()
+	x.table.Add(runner, change)
+	x.mu.Unlock()
+	x.wake()
+}
+
+// View runs a function on the table, which it must not keep.
+func (x *Exchange) View(read func(*occupancy.Table)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.table.Expire(x.config.Clock.Now())
+	read(x.table)
+}
+
+func (x *Exchange) wake() {
+	select {
+	case x.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends and receives until the context ends.
+func (x *Exchange) Run(ctx context.Context) {
+	var receiving sync.WaitGroup
+	receiving.Add(1)
+	go func() {
+		defer receiving.Done()
+		x.receive(ctx)
+	}()
+	x.send(ctx)
+	_ = x.socket.Close()
+	receiving.Wait()
+}
+
+func (x *Exchange) send(ctx context.Context) {
+	ticker := time.NewTicker(occupancy.DigestEvery.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-x.dirty:
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(gather):
+			}
+		}
+		x.tell()
+	}
+}
+
+// tell sends the own work to all. A digest that can't be sent is dropped: the
+// next one replaces it.
+func (x *Exchange) tell() {
+	x.mu.Lock()
+	peers := x.peers
+	loads := x.table.Loads()
+	x.mu.Unlock()
+	if len(peers) == 0 {
+		return
+	}
+	x.sequence++
+	data, err := proto.Marshal(&toucanhingev1.LoadDigest{
+		Source: x.config.Source, Epoch: x.epoch, Sequence: x.sequence, Version: x.config.Version(), Loads: loads,
+	})
+	if err != nil {
+		level.Error(x.config.Logger).Log(logs.KeyEvent, "digest-unencodable", logs.KeyError, err)
+		return
+	}
+	for _, peer := range peers {
+		if _, err := x.socket.WriteToUDPAddrPort(data, peer); err != nil {
+			level.Debug(x.config.Logger).Log(logs.KeyEvent, "digest-unsent", "peer", peer, logs.KeyError, err)
+		}
+	}
+}
+
+func (x *Exchange) receive(ctx context.Context) {
+	buffer := make([]byte, mostBytes)
+	for {
+		n, _, err := x.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			level.Debug(x.config.Logger).Log(logs.KeyEvent, "digest-unread", logs.KeyError, err)
+			continue
+		}
+		d := &toucanhingev1.LoadDigest{}
+		if err := proto.Unmarshal(buffer[:n], d); err != nil {
+			level.Warn(x.config.Logger).Log(logs.KeyEvent, "digest-unreadable", logs.KeyError, err)
+			continue
+		}
+		x.mu.Lock()
+		x.table.Digest(x.config.Clock.Now(), d)
+		x.mu.Unlock()
+		if x.config.Heard != nil {
+			x.config.Heard(d.GetVersion())
+		}
+	}
+}
--- /dev/null
+++ b/common/pkg/occupancy/table.go
@@ -0,0 +1,121 @@
+// Package occupancy counts what is under way at each runner, from what every
+// daemon that sends work there tells. The runners' own reports lag by tens of
+// milliseconds and know nothing of what is on its way to them; a request placed
+// by them alone lands, in a burst, on the runner that looked idle to everybody.
+package occupancy
+
+import (
+	"toucanhinge.example/common/pkg/clock"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+// Expiry is how long a daemon's digest counts. Each sends one at least every
+// DigestEvery; after four missing ones it is dead, and so are its connections.
+const (
+	DigestEvery clock.Millis = 250
+	Expiry      clock.Millis = 1_000
+)
+
+// Load is what is under way at one runner.
+type Load struct {
+	Online int
+	Batch  int
+}
+
+// Table sums up the digests of all daemons and the own work.
+type Table struct {
+	sources map[string]*source
+	total   map[string]Load
+	own     map[string]Load
+}
+
+type source struct {
+	epoch    uint64
+	sequence uint64
+	heard    clock.Millis
+	loads    []*toucanhingev1.RunnerLoad
+}
+
+// New makes an empty table.
+func New() *Table {
+	return &Table{sources: map[string]*source{}, total: map[string]Load{}, own: map[string]Load{}}
+}
+
+// Load is what all daemons together have under way at a runner.
+func (t *Table) Load(runner string) Load { return t.total[runner] }
+
+// Own is the part of it that this daemon sent.
+func (t *Table) Own(runner string) Load { return t.own[runner] }
+
+// Add counts own work that begins, or ends with negative numbers.
+func (t *Table) Add(runner string, change Load) {
+	t.own[runner] = t.own[runner].plus(change)
+	if t.own[runner] == (Load{}) {
+		delete(t.own, runner)
+	}
+	t.sum(runner, change)
+}
+
+// Digest takes over what another daemon told. Datagrams may come late, twice or
+// in another order; only the newest counts.
+func (t *Table) Digest(now clock.Millis, d *toucanhingev1.LoadDigest) {
+	s := t.sources[d.GetSource()]
+	if s != nil && (d.GetEpoch() < s.epoch || d.GetEpoch() == s.epoch && d.GetSequence() <= s.sequence) {
+		return
+	}
+	if s != nil {
+		t.forget(s)
+	}
+	s = &source{epoch: d.GetEpoch(), sequence: d.GetSequence(), heard: now, loads: d.GetLoads()}
+	t.sources[d.GetSource()] = s
+	for _, l := range s.loads {
+		t.sum(l.GetRunner(), loadOf(l))
+	}
+}
+
+// Expire drops the work of daemons that fell silent. Their last counts stay
+// until then, since a datagram may be lost.
+func (t *Table) Expire(now clock.Millis) {
+	for name, s := range t.sources {
+		if len(s.loads) > 0 && now-s.heard > Expiry {
+			t.forget(s)
+			s.loads = nil
+		}
+		if now-s.heard > 60*Expiry {
+			delete(t.sources, name)
+		}
+	}
+}
+
+// Loads lists the own work for a digest.
+func (t *Table) Loads() []*toucanhingev1.RunnerLoad {
+	list := make([]*toucanhingev1.RunnerLoad, 0, len(t.own))
+	for runner, l := range t.own {
+		list = append(list, &toucanhingev1.RunnerLoad{Runner: runner, Online: uint32(l.Online), Batch: uint32(l.Batch)})
+	}
+	return list
+}
+
+func (t *Table) forget(s *source) {
+	for _, l := range s.loads {
+		was := loadOf(l)
+		t.sum(l.GetRunner(), Load{Online: -was.Online, Batch: -was.Batch})
+	}
+}
+
+func (t *Table) sum(runner string, change Load) {
+	sum := t.total[runner].plus(change)
+	if sum == (Load{}) {
+		delete(t.total, runner)
+		return
+	}
+	t.total[runner] = sum
+}
+
+func (l Load) plus(change Load) Load {
+	return Load{Online: l.Online + change.Online, Batch: l.Batch + change.Batch}
+}
+
+func loadOf(l *toucanhingev1.RunnerLoad) Load {
+	return Load{Online: int(l.GetOnline()), Batch: int(l.GetBatch())}
+}
--- /dev/null
+++ b/common/pkg/routing/table.go
@@ -0,0 +1,159 @@
+// Package routing holds the routing table: which service answers a request with
+// a host and a path, and what may be done with it. A table is built once from
+// the operator's configuration and only read afterwards.
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"toucanhinge.example/common/pkg/clock"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+// ErrInvalid is the cause of every refusal of a table.
+var ErrInvalid = errors.New("the routing table is invalid")
+
+// Table is one version of the routes.
+type Table struct {
+	Version uint64
+	Limits  *toucanhingev1.CallerLimits
+
+	wire   *toucanhingev1.RoutingTable
+	byHost map[string][]Route
+}
+
+// Route is one entry of the table.
+type Route struct {
+	*toucanhingev1.Route
+}
+
+// Repeatable says whether a request may run more than once. A stream may, if it
+// can go on elsewhere after its last event.
+func (r Route) Repeatable() bool {
+	return r.Kind == toucanhingev1.RouteKind_ROUTE_KIND_IDEMPOTENT || r.Streams() && r.Resumable
+}
+
+// Streams says whether answers are streams of numbered events.
+func (r Route) Streams() bool { return r.Kind == toucanhingev1.RouteKind_ROUTE_KIND_STREAM }
+
+// Batch says whether the route takes jobs.
+func (r Route) Batch() bool { return r.Kind == toucanhingev1.RouteKind_ROUTE_KIND_BATCH }
+
+// TimeLimit is the longest time that a request may be kept waiting, a span.
+func (r Route) TimeLimit() clock.Millis { return clock.Millis(r.TimeLimitMs) }
+
+// Objective is the time to an answer, or a first event, that earns full credit.
+func (r Route) Objective() clock.Millis { return clock.Millis(r.ObjectiveMs) }
+
+// Service picks one of the route's services by weight; draw is from 0 to below 1.
+func (r Route) Service(draw float64) string {
+	total := uint32(0)
+	for _, s := range r.Shares {
+		total += s.GetWeight()
+	}
+	point := uint32(draw * float64(total))
+	for _, s := range r.Shares {
+		if point < s.GetWeight() {
+			return s.GetService()
+		}
+		point -= s.GetWeight()
+	}
+	return ""
+}
+
+// Services lists the services that the route may use.
+func (r Route) Services() []string {
+	var names []string
+	for _, s := range r.Shares {
+		if s.GetWeight() > 0 && !slices.Contains(names, s.GetService()) {
+			names = append(names, s.GetService())
+		}
+	}
+	return names
+}
+
+// New checks a table and makes it ready for look-ups.
+func New(wire *toucanhingev1.RoutingTable) (*Table, error) {
+	if err := validate(wire); err != nil {
+		return nil, err
+	}
+	t := &Table{Version: wire.GetVersion(), Limits: wire.GetLimits(), wire: wire, byHost: map[string][]Route{}}
+	for _, r := range wire.GetRoutes() {
+		host := strings.ToLower(r.GetHost())
+		t.byHost[host] = append(t.byHost[host], Route{r})
+	}
+	for _, routes := range t.byHost {
+		slices.SortFunc(routes, func(a, b Route) int { return len(b.GetPrefix()) - len(a.GetPrefix()) })
+	}
+	return t, nil
+}
+
+// Wire is the table as it travels.
+func (t *Table) Wire() *toucanhingev1.RoutingTable { return t.wire }
+
+// Match finds the route of a host with the longest prefix that begins the path.
+func (t *Table) Match(host, path string) (Route, bool) {
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.GetPrefix()) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// PathOf cuts the query off a request's target.
+func PathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+func validate(wire *toucanhingev1.RoutingTable) error {
+	known := map[string]bool{}
+	for _, s := range wire.GetServices() {
+		if s.GetName() == "" || known[s.GetName()] {
+			return fmt.Errorf("%w: service %q has no name or stands twice", ErrInvalid, s.GetName())
+		}
+		known[s.GetName()] = true
+	}
+	type place struct{ host, prefix string }
+	taken := map[place]bool{}
+	for _, r := range wire.GetRoutes() {
+		if err := validateRoute(r, known); err != nil {
+			return err
+		}
+		at := place{strings.ToLower(r.GetHost()), r.GetPrefix()}
+		if taken[at] {
+			return fmt.Errorf("%w: two routes have host %q and prefix %q", ErrInvalid, at.host, at.prefix)
+		}
+		taken[at] = true
+	}
+	return nil
+}
+
+func validateRoute(r *toucanhingev1.Route, known map[string]bool) error {
+	switch {
+	case r.GetHost() == "":
+		return fmt.Errorf("%w: route %q has no host", ErrInvalid, r.GetName())
+	case !strings.HasPrefix(r.GetPrefix(), "/") || !strings.HasSuffix(r.GetPrefix(), "/"):
+		return fmt.Errorf("%w: the prefix of route %q doesn't begin and end with a slash", ErrInvalid, r.GetName())
+	case r.GetKind() == toucanhingev1.RouteKind_ROUTE_KIND_UNSPECIFIED:
+		return fmt.Errorf("%w: the kind of route %q is unknown", ErrInvalid, r.GetName())
+	case r.GetTimeLimitMs() == 0:
+		return fmt.Errorf("%w: the time limit of route %q is 0", ErrInvalid, r.GetName())
+	}
+	total := uint32(0)
+	for _, s := range r.GetShares() {
+		if !known[s.GetService()] {
+			return fmt.Errorf("%w: route %q names the unknown service %q", ErrInvalid, r.GetName(), s.GetService())
+		}
+		total += s.GetWeight()
+	}
+	if total == 0 {
+		return fmt.Errorf("%w: the weights of route %q add up to 0", ErrInvalid, r.GetName())
+	}
+	return nil
+}
--- /dev/null
+++ b/control/pkg/batchrun/driver.go
@@ -0,0 +1,420 @@
+// Package batchrun runs the items of batch jobs at the runners, as package
+// dispatch decides, while this process leads the core.
+package batchrun
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/digest"
+	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/occupancy"
+	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/control/pkg/dispatch"
+	"toucanhinge.example/control/pkg/systemstate"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+const (
+	// stepEvery is the longest time between two decisions; changes of the load
+	// are decided on at once.
+	stepEvery = 50 * time.Millisecond
+	// refusedPause keeps items off a runner that was full when we thought it
+	// wasn't: about the time in which one of its places becomes free.
+	refusedPause clock.Millis = 100
+	// unreachablePause keeps items off a runner that can't be reached.
+	unreachablePause clock.Millis = 1_000
+	// expirySlack is added to the time after which an item may be given up: the
+	// time of acceptance was taken by another VM's clock.
+	expirySlack clock.Millis = 5_000
+	// routeGrace is how long a job's route may be missing before its items are
+	// given up: an operator's next change may bring it back.
+	routeGrace clock.Millis = 5_000
+)
+
+// Config describes a driver.
+type Config struct {
+	Machine *systemstate.Machine
+	// Propose logs steps and returns once they are applied.
+	Propose  func(ctx context.Context, steps ...*toucanhingev1.SystemStep) ([]any, error)
+	Client   runner.Client
+	Exchange *digest.Exchange
+	// Runners lists the running instances as far as known.
+	Runners    func() []*toucanhingev1.Runner
+	DataCentre string
+	Clock      clock.Clock
+	Logger     log.Logger
+	Metrics    *Metrics
+}
+
+// Driver keeps the items of all open jobs going.
+type Driver struct {
+	config Config
+	wake   chan struct{}
+
+	mu      sync.Mutex
+	changes []systemstate.Change
+	ended   []outcome
+
+	// The rest belongs to Run.
+	machine  *dispatch.Machine
+	runs     map[dispatch.Key]*run
+	progress map[dispatch.Key]*progress
+	lost     map[string]clock.Millis
+	active   sync.WaitGroup
+}
+
+// New makes a driver.
+func New(config Config) *Driver {
+	return &Driver{config: config, wake: make(chan struct{}, 1)}
+}
+
+// Notify tells a change of the state; it never blocks.
+func (d *Driver) Notify(change systemstate.Change) {
+	d.mu.Lock()
+	d.changes = append(d.changes, change)
+	d.mu.Unlock()
+	d.Wake()
+}
+
+// Wake asks for a decision: the load has changed.
+func (d *Driver) Wake() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run drives the items until the context ends, and then breaks all calls off.
+func (d *Driver) Run(ctx context.Context) {
+	d.machine = dispatch.New()
+	d.runs = map[dispatch.Key]*run{}
+	d.progress = map[dispatch.Key]*progress{}
+	d.lost = map[string]clock.Millis{}
+	d.takeChanges()
+	d.takeEnded()
+	d.reload()
+	defer d.active.Wait()
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for {
+		d.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Driver) takeChanges() []systemstate.Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	taken := d.changes
+	d.changes = nil
+	return taken
+}
+
+func (d *Driver) takeEnded() []outcome {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	taken := d.ended
+	d.ended = nil
+	return taken
+}
+
+// reload takes in all that is open, at the start and after a snapshot.
+func (d *Driver) reload() {
+	d.config.Machine.View(func(s *systemstate.State) {
+		for _, j := range s.OpenJobs() {
+			d.addJob(s, j)
+		}
+	})
+}
+
+func (d *Driver) addJob(s *systemstate.State, j *systemstate.Job) {
+	due, expires := j.Accepted, j.Accepted+expirySlack
+	if route, found := s.Route(j); found {
+		due += clock.Millis(route.CompletionMs)
+		expires += clock.Millis(route.RetentionMs)
+	}
+	for i := range j.Items {
+		if !j.Items[i].Done {
+			d.machine.Add(dispatch.Item{Key: dispatch.Key{Job: j.ID, Index: uint32(i)}, Due: due, Expires: expires})
+		}
+	}
+}
+
+func (d *Driver) step(ctx context.Context) {
+	now := d.config.Clock.Now()
+	for _, change := range d.takeChanges() {
+		d.follow(change)
+	}
+	for _, o := range d.takeEnded() {
+		d.settle(ctx, now, o)
+	}
+	d.giveUpLostRoutes(ctx, now)
+	d.act(ctx, d.machine.Step(now, d.surroundings()))
+	waiting, running := d.machine.Counts()
+	d.config.Metrics.Waiting.Set(float64(waiting))
+	d.config.Metrics.Running.Set(float64(running))
+}
+
+func (d *Driver) follow(change systemstate.Change) {
+	switch change.Kind {
+	case systemstate.JobAccepted:
+		d.config.Machine.View(func(s *systemstate.State) {
+			if j := s.Job(change.Job); j != nil && j.Open() {
+				d.addJob(s, j)
+			}
+		})
+	case systemstate.ItemListed:
+		d.stop(dispatch.Key{Job: change.Job, Index: change.Item})
+	case systemstate.JobEnded:
+		d.stopJob(change.Job)
+	case systemstate.Reloaded:
+		d.reload()
+	}
+}
+
+func (d *Driver) stopJob(job string) {
+	items := 0
+	d.config.Machine.View(func(s *systemstate.State) {
+		if j := s.Job(job); j != nil {
+			items = len(j.Items)
+		}
+	})
+	for i := range items {
+		d.stop(dispatch.Key{Job: job, Index: uint32(i)})
+	}
+}
+
+// stop forgets an item and breaks its call off.
+func (d *Driver) stop(key dispatch.Key) {
+	d.machine.Drop(key)
+	delete(d.progress, key)
+	if r := d.runs[key]; r != nil {
+		r.cancel()
+	}
+}
+
+func (d *Driver) surroundings() dispatch.Surroundings {
+	loads := map[string]dispatch.Load{}
+	d.config.Exchange.View(func(t *occupancy.Table) {
+		for _, r := range d.config.Runners() {
+			total, own := t.Load(r.GetId()), t.Own(r.GetId())
+			loads[r.GetId()] = dispatch.Load{Online: total.Online, Batch: total.Batch - own.Batch}
+		}
+	})
+	services := map[string][]string{}
+	d.config.Machine.View(func(s *systemstate.State) {
+		for _, job := range d.machine.Jobs() {
+			if j := s.Job(job); j != nil {
+				if route, found := s.Route(j); found {
+					services[job] = route.Services()
+				}
+			}
+		}
+	})
+	return dispatch.Surroundings{
+		Runners:  d.config.Runners(),
+		Load:     func(id string) dispatch.Load { return loads[id] },
+		Services: func(job string) []string { return services[job] },
+		Near:     func(r *toucanhingev1.Runner) bool { return r.GetDataCentre() == d.config.DataCentre },
+	}
+}
+
+// giveUpLostRoutes lists the items of jobs whose route is gone as failed.
+func (d *Driver) giveUpLostRoutes(ctx context.Context, now clock.Millis) {
+	gone := map[string]int{}
+	d.config.Machine.View(func(s *systemstate.State) {
+		for _, job := range d.machine.Jobs() {
+			j := s.Job(job)
+			if j == nil {
+				continue
+			}
+			if _, found := s.Route(j); found || s.Table() == nil {
+				delete(d.lost, job)
+				continue
+			}
+			if d.lost[job] == 0 {
+				d.lost[job] = now
+			}
+			if now-d.lost[job] >= routeGrace {
+				gone[job] = len(j.Items)
+			}
+		}
+	})
+	for job, items := range gone {
+		delete(d.lost, job)
+		for i := range items {
+			key := dispatch.Key{Job: job, Index: uint32(i)}
+			if d.machine.Has(key) {
+				d.stop(key)
+				d.list(ctx, key, false, nil, "route-gone")
+			}
+		}
+	}
+}
+
+func (d *Driver) act(ctx context.Context, actions dispatch.Actions) {
+	for _, key := range actions.GiveUp {
+		if r := d.runs[key]; r != nil {
+			r.cancel()
+		}
+		d.list(ctx, key, false, nil, "expired")
+	}
+	for _, key := range actions.Pause {
+		d.config.Metrics.Paused.Inc()
+		level.Info(d.config.Logger).Log(logs.KeyEvent, "item-paused", logs.KeyJob, key.Job, "index", key.Index, "reason", "online-work")
+		if r := d.runs[key]; r != nil {
+			r.cancel()
+		}
+	}
+	for _, start := range actions.Start {
+		d.start(ctx, start)
+	}
+}
+
+func (d *Driver) start(ctx context.Context, start dispatch.Start) {
+	p := d.progress[start.Key]
+	if p == nil {
+		p = &progress{}
+		d.progress[start.Key] = p
+	}
+	runCtx, cancel := context.WithCancel(ctx)
+	r := &run{
+		driver: d, key: start.Key, target: start.Runner, progress: p,
+		before: d.runs[start.Key], cancel: cancel, done: make(chan struct{}),
+	}
+	d.runs[start.Key] = r
+	d.config.Exchange.Add(start.Runner.GetId(), occupancy.Load{Batch: 1})
+	d.active.Add(1)
+	go func() {
+		defer d.active.Done()
+		o := r.run(runCtx)
+		cancel()
+		d.config.Exchange.Add(start.Runner.GetId(), occupancy.Load{Batch: -1})
+		close(r.done)
+		d.mu.Lock()
+		d.ended = append(d.ended, o)
+		d.mu.Unlock()
+		d.Wake()
+	}()
+}
+
+// settle takes up how a call ended.
+func (d *Driver) settle(ctx context.Context, now clock.Millis, o outcome) {
+	if d.runs[o.run.key] == o.run {
+		delete(d.runs, o.run.key)
+	} else {
+		// The item was paused and has begun elsewhere meanwhile.
+		return
+	}
+	key, id := o.run.key, o.run.target.GetId()
+	d.config.Metrics.Ended.WithLabelValues(string(o.kind)).Inc()
+	level.Info(d.config.Logger).Log(logs.KeyEvent, "item-call-ended", logs.KeyJob, key.Job, "index", key.Index,
+		"item", o.run.item, "runner", id, "outcome", o.kind, "events", o.run.progress.last, logs.KeyError, o.err)
+	switch o.kind {
+	case finished:
+		text := o.run.progress.text
+		d.machine.Finished(now, key)
+		delete(d.progress, key)
+		d.list(ctx, key, true, text, "finished")
+	case impossible:
+		d.stop(key)
+		d.list(ctx, key, false, nil, "impossible")
+	case failed:
+		d.countFailure(ctx, now, o)
+	case refused:
+		d.machine.Block(id, now+refusedPause)
+		d.machine.Stopped(now, key, 0)
+	case unreachable:
+		d.machine.Block(id, now+unreachablePause)
+		d.machine.Stopped(now, key, 0)
+	case broken:
+		d.machine.Stopped(now, key, refusedPause)
+	case paused:
+	}
+}
+
+// countFailure notes a failed attempt durably, so that an item that fails at
+// every runner ends at its limit even if the leader changes in between.
+func (d *Driver) countFailure(ctx context.Context, now clock.Millis, o outcome) {
+	key := o.run.key
+	attempts, limit := uint32(1), uint32(1)
+	d.config.Machine.View(func(s *systemstate.State) {
+		j := s.Job(key.Job)
+		if j == nil {
+			return
+		}
+		attempts += j.Items[key.Index].Failures
+		if route, found := s.Route(j); found {
+			limit = max(route.MaxAttempts, 1)
+		}
+	})
+	if attempts >= limit {
+		d.stop(key)
+		d.list(ctx, key, false, nil, "attempts")
+		return
+	}
+	*o.run.progress = progress{}
+	d.machine.Stopped(now, key, refusedPause)
+	d.propose(ctx, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_CountFailure{
+		CountFailure: &toucanhingev1.CountFailureStep{Job: key.Job, Item: key.Index},
+	}})
+}
+
+// list gives an item its result.
+func (d *Driver) list(ctx context.Context, key dispatch.Key, completed bool, text []byte, reason string) {
+	d.config.Metrics.Listed.WithLabelValues(reason).Inc()
+	d.propose(ctx, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_FinishItem{
+		FinishItem: &toucanhingev1.FinishItemStep{Job: key.Job, Item: key.Index, Completed: completed, Text: text},
+	}})
+}
+
+// propose logs a step, again and again while this process leads: a result that
+// was made must not be made once more because the disk was slow.
+func (d *Driver) propose(ctx context.Context, step *toucanhingev1.SystemStep) {
+	d.active.Add(1)
+	go func() {
+		defer d.active.Done()
+		for ctx.Err() == nil {
+			_, err := d.config.Propose(ctx, step)
+			if err == nil {
+				return
+			}
+			level.Warn(d.config.Logger).Log(logs.KeyEvent, "item-step-unlogged", logs.KeyError, err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(stepEvery + time.Duration(rand.Int64N(int64(stepEvery)))):
+			}
+		}
+	}()
+}
+
+// request reads an item's request and the host of its job.
+func (d *Driver) request(key dispatch.Key) (item *toucanhingev1.JobItem, host string, err error) {
+	var ref, found = systemstate.Item{}, false
+	d.config.Machine.View(func(s *systemstate.State) {
+		if j := s.Job(key.Job); j != nil && int(key.Index) < len(j.Items) {
+			ref, host, found = j.Items[key.Index], j.Host, true
+		}
+	})
+	if !found {
+		return nil, "", errGone
+	}
+	item, err = d.config.Machine.Item(ref.Request)
+	if err != nil {
+		return nil, "", fmt.Errorf("read an item: %w", err)
+	}
+	return item, host, nil
+}
--- /dev/null
+++ b/control/pkg/batchrun/run.go
@@ -0,0 +1,169 @@
+package batchrun
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/common/pkg/sse"
+	"toucanhinge.example/control/pkg/dispatch"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+const (
+	// silence is the longest pause between events before an item goes on
+	// elsewhere. Runners make an event every 20 ms, 80 when slow; one that says
+	// nothing for a second is dark, or cut off without a reset.
+	silence = time.Second
+	// readBuffer holds a few events of some 100 bytes.
+	readBuffer = 2 << 10
+)
+
+var (
+	errGone    = errors.New("the item is gone")
+	errSilent  = errors.New("the runner sent nothing for too long")
+	errGap     = errors.New("an event of the stream is missing")
+	errStatus  = errors.New("unexpected status")
+	errUnasked = errors.New("the stream didn't go on where asked")
+)
+
+// outcomeKind says how a call of an item ended.
+type outcomeKind string
+
+const (
+	// finished: the text is whole.
+	finished outcomeKind = "finished"
+	// impossible: the item can never be done.
+	impossible outcomeKind = "impossible"
+	// failed: the runner ran it and failed.
+	failed outcomeKind = "failed"
+	// refused: the runner didn't run it.
+	refused outcomeKind = "refused"
+	// unreachable: nothing was sent.
+	unreachable outcomeKind = "unreachable"
+	// broken: the stream ended early; it goes on after its last event.
+	broken outcomeKind = "broken"
+	// paused: we broke it off.
+	paused outcomeKind = "paused"
+)
+
+type outcome struct {
+	run  *run
+	kind outcomeKind
+	err  error
+}
+
+// progress is what an item's calls have made so far.
+type progress struct {
+	last uint64
+	text []byte
+}
+
+// run is one call of an item.
+type run struct {
+	driver   *Driver
+	key      dispatch.Key
+	target   *toucanhingev1.Runner
+	progress *progress
+	item     string
+	// before is the item's call before, which may not have ended yet.
+	before *run
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (r *run) run(ctx context.Context) outcome {
+	if r.before != nil {
+		<-r.before.done
+		r.before = nil
+	}
+	kind, err := r.call(ctx)
+	if ctx.Err() != nil && kind != finished && kind != impossible {
+		kind = paused
+	}
+	return outcome{run: r, kind: kind, err: err}
+}
+
+func (r *run) call(ctx context.Context) (outcomeKind, error) {
+	item, host, err := r.driver.request(r.key)
+	if err != nil {
+		return broken, err
+	}
+	r.item = item.GetId()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(silence, cancel)
+	defer watchdog.Stop()
+	answer, err := r.driver.config.Client.Open(ctx, r.describe(item, host))
+	if err != nil {
+		var unsent *runner.NotSentError
+		if errors.As(err, &unsent) {
+			return unreachable, err
+		}
+		return broken, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if kind, done := judge(answer); done {
+		return kind, fmt.Errorf("%w %d", errStatus, answer.Status)
+	}
+	return r.read(answer.Body, watchdog)
+}
+
+func (r *run) describe(item *toucanhingev1.JobItem, host string) runner.Call {
+	header := http.Header{}
+	for _, f := range item.GetHeaders() {
+		header.Add(f.GetName(), f.GetValue())
+	}
+	return runner.Call{
+		Runner: r.target, Request: item.GetId(), Method: http.MethodPost, Target: item.GetTarget(), Host: host,
+		Header: header, Body: item.GetBody(), Resume: r.progress.last > 0, After: r.progress.last,
+	}
+}
+
+// judge looks at the status of an answer; done is false for a stream to read.
+func judge(answer *runner.Answer) (kind outcomeKind, done bool) {
+	switch {
+	case answer.NotRun, answer.Other:
+		return refused, true
+	case answer.Status == http.StatusOK:
+		return "", false
+	case answer.Status == http.StatusUnprocessableEntity:
+		return impossible, true
+	case answer.Status == http.StatusInternalServerError:
+		return failed, true
+	default:
+		return broken, true
+	}
+}
+
+// read appends the stream's events. One that came before is passed over, and a
+// missing one ends the call: a text put together around a gap would look whole.
+func (r *run) read(body io.Reader, watchdog *time.Timer) (outcomeKind, error) {
+	reader := sse.NewReader(body, readBuffer)
+	for {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) && r.progress.last > 0 {
+			return finished, nil
+		}
+		if err != nil {
+			return broken, err
+		}
+		watchdog.Reset(silence)
+		if !event.Numbered || event.ID <= r.progress.last {
+			return broken, errUnasked
+		}
+		if r.progress.last > 0 && event.ID != r.progress.last+1 {
+			return broken, errGap
+		}
+		if r.progress.last > 0 {
+			r.progress.text = append(r.progress.text, '\n')
+		}
+		r.progress.text = append(r.progress.text, event.Data...)
+		r.progress.last = event.ID
+	}
+}
--- /dev/null
+++ b/control/pkg/core/core.go
@@ -0,0 +1,232 @@
+// Package core is a VM of the core: a replica of the routing table and the batch
+// jobs, and, while it leads, what gateways and operators ask of them.
+package core
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/control"
+	"toucanhinge.example/common/pkg/digest"
+	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/control/pkg/batchrun"
+	"toucanhinge.example/control/pkg/replica"
+	"toucanhinge.example/control/pkg/systemstate"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+// Group is the number of the core's consensus group.
+const Group = 0
+
+const (
+	// checkpointBytes bounds what the log keeps in memory and a restart replays.
+	// A VM of the core has some 150 MB for everything.
+	checkpointBytes = 2 << 20
+	keepBytes       = 512 << 10
+	logFileBytes    = 4 << 20
+)
+
+// Config sets up a VM of the core.
+type Config struct {
+	// Name is the VM's; Address is where other daemons reach it, IP:port, and its
+	// member name in the group.
+	Name       string
+	Address    string
+	DataCentre string
+	Folder     string
+	// Founders are the addresses of the VMs that form the group when the system
+	// starts for the first time; empty at every other start.
+	Founders []string
+	// Losses is how many VMs may be lost at the same time.
+	Losses int
+
+	Clock      clock.Clock
+	Logger     log.Logger
+	Registerer prometheus.Registerer
+	Exchange   *digest.Exchange
+	Runners    runner.Client
+	// Directory lists all running instances.
+	Directory func(context.Context) ([]*toucanhingev1.Runner, error)
+	// Core calls the leader, wherever it is.
+	Core *control.Client
+	// Fatal ends the process: its state can't be trusted any more.
+	Fatal func(error)
+}
+
+// Core is one VM of the core.
+type Core struct {
+	config  Config
+	group   *replica.Group
+	machine *systemstate.Machine
+	driver  *batchrun.Driver
+	fleet   *fleet
+	// changed wakes those who wait for news of the state.
+	changed *signal
+	metrics *metrics
+
+	identity string
+	cancel   context.CancelFunc
+	duties   sync.WaitGroup
+}
+
+// Open restores the VM's replica.
+func Open(config Config) (*Core, error) {
+	identity, err := replica.Identity(config.Folder)
+	if err != nil {
+		return nil, fmt.Errorf("data folder: %w", err)
+	}
+	c := &Core{config: config, identity: identity, fleet: newFleet(), changed: newSignal(), metrics: newMetrics(config.Registerer)}
+	folder := filepath.Join(config.Folder, "core")
+	c.machine = systemstate.NewMachine(systemstate.MachineConfig{
+		Folder: filepath.Join(folder, "state"), Fatal: config.Fatal, Notify: c.notify,
+	})
+	c.driver = batchrun.New(batchrun.Config{
+		Machine: c.machine, Propose: c.propose, Client: config.Runners, Exchange: config.Exchange,
+		Runners: c.fleet.list, DataCentre: config.DataCentre, Clock: config.Clock, Logger: config.Logger,
+		Metrics: batchrun.NewMetrics(config.Registerer),
+	})
+	var founders []replica.Peer
+	for _, address := range config.Founders {
+		founders = append(founders, replica.Peer{Name: address, Address: address, Voter: true})
+	}
+	c.group, err = replica.Open(replica.Config{
+		Group: Group, Name: config.Address, Identity: identity, Address: config.Address, Folder: folder,
+		Bootstrap: founders, Clock: config.Clock, Logger: config.Logger, Registerer: config.Registerer,
+		CheckpointBytes: checkpointBytes, KeepBytes: keepBytes, LogFileBytes: logFileBytes,
+	}, replica.Machine{
+		Apply: c.machine.Apply, Checkpoint: c.machine.Checkpoint, Load: c.machine.Load,
+		Export: c.machine.Export, Import: c.machine.Import,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("replica: %w", err)
+	}
+	return c, nil
+}
+
+// Replicas hands the calls of other VMs to the replica.
+func (c *Core) Replicas() *replica.Server {
+	return replica.NewServer(map[uint32]*replica.Group{Group: c.group})
+}
+
+// Start begins the VM's duties.
+func (c *Core) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.duty(func() { c.lead(ctx) })
+	c.duty(func() { c.announce(ctx) })
+	c.duty(func() {
+		select {
+		case <-c.group.Failed():
+			c.config.Fatal(c.group.Err())
+		case <-ctx.Done():
+		}
+	})
+}
+
+func (c *Core) duty(run func()) {
+	c.duties.Add(1)
+	go func() {
+		defer c.duties.Done()
+		run()
+	}()
+}
+
+// Stop hands the leadership over and closes the replica.
+func (c *Core) Stop(ctx context.Context) {
+	if _, _, self := c.group.Leader(); self {
+		if err := c.group.Handover(ctx); err != nil {
+			level.Warn(c.config.Logger).Log(logs.KeyEvent, "handover-failed", logs.KeyError, err)
+		}
+	}
+	c.cancel()
+	c.duties.Wait()
+	if err := c.group.Close(); err != nil {
+		level.Error(c.config.Logger).Log(logs.KeyEvent, "close-failed", logs.KeyError, err)
+	}
+	c.machine.Close()
+}
+
+// HeardDigest tells that another daemon's load changed.
+func (c *Core) HeardDigest(uint64) { c.driver.Wake() }
+
+// Version is the routing table in force here.
+func (c *Core) Version() uint64 {
+	if t := c.table(); t != nil {
+		return t.GetVersion()
+	}
+	return 0
+}
+
+func (c *Core) table() *toucanhingev1.RoutingTable {
+	var wire *toucanhingev1.RoutingTable
+	c.machine.View(func(s *systemstate.State) {
+		if t := s.Table(); t != nil {
+			wire = t.Wire()
+		}
+	})
+	return wire
+}
+
+func (c *Core) notify(change systemstate.Change) {
+	c.driver.Notify(change)
+	c.changed.fire()
+}
+
+// errAnswers tells that a command was logged by a program that counts otherwise.
+var errAnswers = errors.New("the command gave no outcome")
+
+// propose logs steps as one command and returns their outcomes.
+func (c *Core) propose(ctx context.Context, steps ...*toucanhingev1.SystemStep) ([]any, error) {
+	data, err := proto.Marshal(&toucanhingev1.SystemCommand{AtMs: int64(c.config.Clock.Now()), Steps: steps})
+	if err != nil {
+		return nil, fmt.Errorf("encode a command: %w", err)
+	}
+	result, err := c.group.Propose(ctx, data)
+	if err != nil {
+		return nil, fmt.Errorf("log a command: %w", err)
+	}
+	answers, ok := result.([]any)
+	if !ok || len(answers) != len(steps) {
+		return nil, errAnswers
+	}
+	return answers, nil
+}
+
+// proposeOne logs one step and returns its outcome.
+func proposeOne[T any](ctx context.Context, c *Core, step *toucanhingev1.SystemStep) (T, error) {
+	var zero T
+	answers, err := c.propose(ctx, step)
+	if err != nil {
+		return zero, err
+	}
+	answer, ok := answers[0].(T)
+	if !ok {
+		return zero, errAnswers
+	}
+	return answer, nil
+}
+
+// confirm makes sure that this VM leads and sees all that was acknowledged.
+func (c *Core) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTime)
+	defer cancel()
+	if err := c.group.Read(ctx); err != nil {
+		return fmt.Errorf("confirm a read: %w", err)
+	}
+	return nil
+}
+
+// confirmTime is how long a majority may take to confirm a read; callers turn to
+// another VM after a second.
+const confirmTime = 800 * time.Millisecond
--- /dev/null
+++ b/control/pkg/core/fleet.go
@@ -0,0 +1,153 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"toucanhinge.example/common/pkg/clock"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+// presenceExpiry is how long a gateway counts as there after it last attended.
+// It attends about once a second.
+const presenceExpiry clock.Millis = 4_000
+
+// fleet is what the leader knows of the running daemons and runners. It is not
+// durable: a new leader learns it anew within a second.
+type fleet struct {
+	changed *signal
+
+	mu       sync.Mutex
+	revision uint64
+	runners  []*toucanhingev1.Runner
+	gateways map[string]gateway
+	// vms are the VMs of the core that announced themselves, by address.
+	vms   map[string]announced
+	cores []string
+}
+
+type gateway struct {
+	address string
+	heard   clock.Millis
+}
+
+type announced struct {
+	name     string
+	identity string
+	heard    clock.Millis
+}
+
+func newFleet() *fleet {
+	return &fleet{changed: newSignal(), gateways: map[string]gateway{}, vms: map[string]announced{}}
+}
+
+// begin starts a leader's time: its revisions are above those of all before.
+func (f *fleet) begin(term uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = term << 32
+	f.gateways = map[string]gateway{}
+	f.vms = map[string]announced{}
+}
+
+func (f *fleet) list() []*toucanhingev1.Runner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runners
+}
+
+// setRunners takes over a new list, and says whether it differs.
+func (f *fleet) setRunners(runners []*toucanhingev1.Runner) bool {
+	slices.SortFunc(runners, func(a, b *toucanhingev1.Runner) int { return strings.Compare(a.GetId(), b.GetId()) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	same := func(a, b *toucanhingev1.Runner) bool { return proto.Equal(a, b) }
+	if slices.EqualFunc(f.runners, runners, same) {
+		return false
+	}
+	f.runners = runners
+	f.bump()
+	return true
+}
+
+func (f *fleet) setCores(addresses []string) {
+	slices.Sort(addresses)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !slices.Equal(f.cores, addresses) {
+		f.cores = addresses
+		f.bump()
+	}
+}
+
+// attend notes a gateway.
+func (f *fleet) attend(now clock.Millis, name, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before, known := f.gateways[name]
+	f.gateways[name] = gateway{address: address, heard: now}
+	if !known || before.address != address {
+		f.bump()
+	}
+}
+
+// expire forgets gateways that fell silent.
+func (f *fleet) expire(now clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, g := range f.gateways {
+		if now-g.heard > presenceExpiry {
+			delete(f.gateways, name)
+			f.bump()
+		}
+	}
+}
+
+func (f *fleet) announce(now clock.Millis, name, address, identity string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms[address] = announced{name: name, identity: identity, heard: now}
+}
+
+func (f *fleet) announced() map[string]announced {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	vms := make(map[string]announced, len(f.vms))
+	for address, v := range f.vms {
+		vms[address] = v
+	}
+	return vms
+}
+
+func (f *fleet) bump() {
+	f.revision++
+	f.changed.fire()
+}
+
+// view is the fleet for daemons that hold an older revision, nil otherwise.
+func (f *fleet) view(have uint64, self string) *toucanhingev1.FleetView {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.revision == have {
+		return nil
+	}
+	v := &toucanhingev1.FleetView{Revision: f.revision, Runners: f.runners, CoreAddresses: f.cores, DigestAddresses: []string{self}}
+	for _, g := range f.gateways {
+		v.DigestAddresses = append(v.DigestAddresses, g.address)
+	}
+	return v
+}
+
+// digestAddresses lists where the gateways take load digests.
+func (f *fleet) digestAddresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for _, g := range f.gateways {
+		addresses = append(addresses, g.address)
+	}
+	return addresses
+}
--- /dev/null
+++ b/control/pkg/core/service.go
@@ -0,0 +1,233 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"toucanhinge.example/common/pkg/control"
+	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/control/pkg/replica"
+	"toucanhinge.example/control/pkg/segment"
+	"toucanhinge.example/control/pkg/systemstate"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+	"toucanhinge.example/schema/gen/toucanhinge/v1/toucanhingev1connect"
+)
+
+// mostWait bounds how long a call may be kept waiting for news.
+const mostWait = 2 * time.Second
+
+var _ toucanhingev1connect.CoreServiceHandler = (*Core)(nil)
+
+// Attend answers with what the gateway doesn't hold yet, at once if there is
+// any, else when there is or the time is up.
+func (c *Core) Attend(ctx context.Context, r *connect.Request[toucanhingev1.AttendRequest]) (*connect.Response[toucanhingev1.AttendResponse], error) {
+	if err := c.leads(); err != nil {
+		return nil, err
+	}
+	m := r.Msg
+	c.fleet.attend(c.config.Clock.Now(), m.GetName(), m.GetDigestAddress())
+	timer := time.NewTimer(wait(m.GetWaitMs()))
+	defer timer.Stop()
+	for {
+		state, fleet := c.changed.next(), c.fleet.changed.next()
+		answer := &toucanhingev1.AttendResponse{Fleet: c.fleet.view(m.GetHaveFleet(), c.config.Address)}
+		if t := c.table(); t.GetVersion() > m.GetHaveVersion() {
+			answer.Table = t
+		}
+		if err := c.leads(); err != nil {
+			return nil, err
+		}
+		if answer.Table != nil || answer.Fleet != nil {
+			return connect.NewResponse(answer), nil
+		}
+		select {
+		case <-state:
+		case <-fleet:
+		case <-timer.C:
+			return connect.NewResponse(answer), nil
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+		}
+	}
+}
+
+func wait(ms uint32) time.Duration {
+	return min(time.Duration(ms)*time.Millisecond, mostWait)
+}
+
+// Announce notes a VM of the core.
+func (c *Core) Announce(_ context.Context, r *connect.Request[toucanhingev1.AnnounceRequest]) (*connect.Response[toucanhingev1.AnnounceResponse], error) {
+	if err := c.leads(); err != nil {
+		return nil, err
+	}
+	c.fleet.announce(c.config.Clock.Now(), r.Msg.GetName(), r.Msg.GetAddress(), r.Msg.GetIdentity())
+	return connect.NewResponse(&toucanhingev1.AnnounceResponse{CoreAddresses: c.Addresses()}), nil
+}
+
+func (c *Core) tellLeader(ctx context.Context, leader *control.Replica) (*toucanhingev1.AnnounceResponse, error) {
+	answer, err := leader.Core.Announce(ctx, connect.NewRequest(&toucanhingev1.AnnounceRequest{
+		Name: c.config.Name, Address: c.config.Address, Identity: c.identity, DataCentre: c.config.DataCentre,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return answer.Msg, nil
+}
+
+// Addresses of the group's members.
+func (c *Core) Addresses() []string {
+	var addresses []string
+	for _, r := range c.group.Status().GetReplicas() {
+		addresses = append(addresses, r.GetAddress())
+	}
+	return addresses
+}
+
+// SubmitJob accepts a job once it is synced on a majority.
+func (c *Core) SubmitJob(ctx context.Context, r *connect.Request[toucanhingev1.SubmitJobRequest]) (*connect.Response[toucanhingev1.SubmitJobResponse], error) {
+	if err := c.leads(); err != nil {
+		return nil, err
+	}
+	outcome, err := proposeOne[toucanhingev1.SubmitOutcome](ctx, c, &toucanhingev1.SystemStep{
+		Step: &toucanhingev1.SystemStep_AcceptJob{AcceptJob: &toucanhingev1.AcceptJobStep{Job: r.Msg}},
+	})
+	if err != nil {
+		return nil, c.refusal(err)
+	}
+	c.metrics.jobs.WithLabelValues(outcome.String()).Inc()
+	level.Info(c.config.Logger).Log(logs.KeyEvent, "job-submitted", logs.KeyJob, r.Msg.GetJob(),
+		"items", len(r.Msg.GetItems()), "outcome", outcome)
+	return connect.NewResponse(&toucanhingev1.SubmitJobResponse{Outcome: outcome}), nil
+}
+
+// ReadListed returns results in the order in which they were listed.
+func (c *Core) ReadListed(ctx context.Context, r *connect.Request[toucanhingev1.ReadListedRequest]) (*connect.Response[toucanhingev1.ReadListedResponse], error) {
+	if err := c.confirm(ctx); err != nil {
+		return nil, c.refusal(err)
+	}
+	timer := time.NewTimer(wait(r.Msg.GetWaitMs()))
+	defer timer.Stop()
+	for {
+		changed := c.changed.next()
+		answer, err := c.listed(r.Msg)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		if !answer.GetFound() || len(answer.GetResults()) > 0 || r.Msg.GetAfter() >= answer.GetTotal() {
+			return connect.NewResponse(answer), nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return connect.NewResponse(answer), nil
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+		}
+	}
+}
+
+// record is a listed result without its text.
+type record struct {
+	result *toucanhingev1.ItemResult
+	text   segment.Ref
+}
+
+func (c *Core) listed(r *toucanhingev1.ReadListedRequest) (*toucanhingev1.ReadListedResponse, error) {
+	answer := &toucanhingev1.ReadListedResponse{}
+	var records []record
+	c.machine.View(func(s *systemstate.State) {
+		j := s.Job(r.GetJob())
+		if j == nil {
+			return
+		}
+		answer.Found, answer.Total = true, uint32(len(j.Items))
+		for _, index := range j.Listed[min(int(r.GetAfter()), len(j.Listed)):] {
+			item := j.Items[index]
+			records = append(records, record{
+				result: &toucanhingev1.ItemResult{Item: item.ID, Completed: item.Completed}, text: item.Text,
+			})
+		}
+	})
+	bytes := 0
+	for _, rec := range records {
+		if rec.text != 0 {
+			text, err := c.machine.Record(rec.text)
+			if err != nil {
+				return nil, err
+			}
+			rec.result.Text = text
+		}
+		bytes += len(rec.result.GetText())
+		if bytes > int(r.GetMostBytes()) && len(answer.GetResults()) > 0 {
+			break
+		}
+		answer.Results = append(answer.Results, rec.result)
+	}
+	return answer, nil
+}
+
+// ReadBody returns the body of an item that isn't listed yet.
+func (c *Core) ReadBody(ctx context.Context, r *connect.Request[toucanhingev1.ReadBodyRequest]) (*connect.Response[toucanhingev1.ReadBodyResponse], error) {
+	if err := c.confirm(ctx); err != nil {
+		return nil, c.refusal(err)
+	}
+	ref := segment.Ref(0)
+	c.machine.View(func(s *systemstate.State) {
+		if j := s.Job(r.Msg.GetJob()); j != nil {
+			for _, item := range j.Items {
+				if item.ID == r.Msg.GetItem() {
+					ref = item.Request
+				}
+			}
+		}
+	})
+	if ref == 0 {
+		return connect.NewResponse(&toucanhingev1.ReadBodyResponse{}), nil
+	}
+	item, err := c.machine.Item(ref)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&toucanhingev1.ReadBodyResponse{Found: true, Body: item.GetBody()}), nil
+}
+
+// EndJob ends a job for good.
+func (c *Core) EndJob(ctx context.Context, r *connect.Request[toucanhingev1.EndJobRequest]) (*connect.Response[toucanhingev1.EndJobResponse], error) {
+	if err := c.leads(); err != nil {
+		return nil, err
+	}
+	found, err := proposeOne[bool](ctx, c, &toucanhingev1.SystemStep{
+		Step: &toucanhingev1.SystemStep_EndJob{EndJob: &toucanhingev1.EndJobStep{Job: r.Msg.GetJob()}},
+	})
+	if err != nil {
+		return nil, c.refusal(err)
+	}
+	level.Info(c.config.Logger).Log(logs.KeyEvent, "job-ended", logs.KeyJob, r.Msg.GetJob(), "found", found)
+	return connect.NewResponse(&toucanhingev1.EndJobResponse{Found: found}), nil
+}
+
+// leads refuses on a VM that doesn't lead, and names the one that does.
+func (c *Core) leads() error {
+	_, address, self := c.group.Leader()
+	if self {
+		return nil
+	}
+	return control.NotLeader(address)
+}
+
+// refusal tells a caller why its call had no effect, or that this isn't known.
+func (c *Core) refusal(err error) error {
+	var notLeader *replica.NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		return control.NotLeader(notLeader.Address)
+	case errors.Is(err, replica.ErrOverloaded):
+		return connect.NewError(connect.CodeResourceExhausted, err)
+	default:
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+}
--- /dev/null
+++ b/control/pkg/dispatch/machine.go
@@ -0,0 +1,308 @@
+// Package dispatch decides which batch items run where. The load that it
+// answers: online requests come in bursts that need nearly every place for some
+// seconds and leave most of them free in between, while items run for seconds
+// and are due within some tens of seconds. So items fill every place that online
+// work leaves, at once; they give a place back as soon as online work stands
+// before it, and go on later from their last event; and those that can still be
+// in time go first. It holds no goroutine, socket or clock.
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"toucanhinge.example/common/pkg/clock"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+const (
+	// firstRun is the running time that is expected of an item before any has
+	// been measured.
+	firstRun clock.Millis = 3_000
+	// runWeight is the weight of the newest measured run in the mean: the last
+	// ten or so count.
+	runWeight = 0.1
+)
+
+// Key names an item.
+type Key struct {
+	Job   string
+	Index uint32
+}
+
+// Item is an item to run.
+type Item struct {
+	Key Key
+	// Due is when the result should be there, Expires when it may be given up.
+	Due     clock.Millis
+	Expires clock.Millis
+}
+
+// Load is what other work there is at a runner: online requests and items that
+// another daemon still runs.
+type Load struct {
+	Online int
+	Batch  int
+}
+
+// Surroundings is what the machine can see when it decides.
+type Surroundings struct {
+	Runners []*toucanhingev1.Runner
+	Load    func(runner string) Load
+	// Services lists where the items of a job may run; none if its route is gone.
+	Services func(job string) []string
+	// Near says whether a runner is in the same data centre.
+	Near func(*toucanhingev1.Runner) bool
+}
+
+// Start is an item that begins, or goes on, at a runner.
+type Start struct {
+	Key    Key
+	Runner *toucanhingev1.Runner
+}
+
+// Actions is what a step asks for.
+type Actions struct {
+	Start []Start
+	// Pause items: break their calls off, they go on later.
+	Pause []Key
+	// GiveUp items that may be given up.
+	GiveUp []Key
+}
+
+type item struct {
+	Item
+	order     uint64
+	runner    string
+	began     clock.Millis
+	ran       clock.Millis
+	notBefore clock.Millis
+}
+
+// Machine keeps the items that wait or run.
+type Machine struct {
+	items   map[Key]*item
+	order   uint64
+	running map[string][]*item
+	blocked map[string]clock.Millis
+	meanRun clock.Millis
+}
+
+// New makes an empty machine.
+func New() *Machine {
+	return &Machine{
+		items: map[Key]*item{}, running: map[string][]*item{}, blocked: map[string]clock.Millis{}, meanRun: firstRun,
+	}
+}
+
+// Add takes an item to run.
+func (m *Machine) Add(i Item) {
+	if m.items[i.Key] == nil {
+		m.order++
+		m.items[i.Key] = &item{Item: i, order: m.order}
+	}
+}
+
+// Has says whether the item waits or runs.
+func (m *Machine) Has(key Key) bool { return m.items[key] != nil }
+
+// Drop forgets an item, and says whether it ran.
+func (m *Machine) Drop(key Key) bool {
+	i := m.items[key]
+	if i == nil {
+		return false
+	}
+	ran := i.runner != ""
+	m.leave(i)
+	delete(m.items, key)
+	return ran
+}
+
+// Finished notes that an item ran to its end, and forgets it.
+func (m *Machine) Finished(now clock.Millis, key Key) {
+	if i := m.items[key]; i != nil {
+		whole := i.ran + now - i.began
+		m.meanRun += clock.Millis(runWeight * float64(whole-m.meanRun))
+	}
+	m.Drop(key)
+}
+
+// Stopped notes that an item's call ended early. It waits again, at the earliest
+// after the pause.
+func (m *Machine) Stopped(now clock.Millis, key Key, pause clock.Millis) {
+	i := m.items[key]
+	if i == nil || i.runner == "" {
+		return
+	}
+	i.ran += now - i.began
+	i.notBefore = now + pause
+	m.leave(i)
+}
+
+// Block keeps new items off a runner until a time: it refused one, or can't be
+// reached.
+func (m *Machine) Block(runner string, until clock.Millis) {
+	m.blocked[runner] = max(m.blocked[runner], until)
+}
+
+// Jobs lists the jobs that have items here.
+func (m *Machine) Jobs() []string {
+	var jobs []string
+	for key := range m.items {
+		if !slices.Contains(jobs, key.Job) {
+			jobs = append(jobs, key.Job)
+		}
+	}
+	return jobs
+}
+
+// Counts are the items that wait and that run.
+func (m *Machine) Counts() (waiting, running int) {
+	for _, list := range m.running {
+		running += len(list)
+	}
+	return len(m.items) - running, running
+}
+
+func (m *Machine) leave(i *item) {
+	if i.runner == "" {
+		return
+	}
+	m.running[i.runner] = slices.DeleteFunc(m.running[i.runner], func(other *item) bool { return other == i })
+	if len(m.running[i.runner]) == 0 {
+		delete(m.running, i.runner)
+	}
+	i.runner = ""
+}
+
+// Step decides.
+func (m *Machine) Step(now clock.Millis, around Surroundings) Actions {
+	var actions Actions
+	m.expire(now, &actions)
+	for _, r := range around.Runners {
+		m.yield(now, r, around, &actions)
+	}
+	m.fill(now, around, &actions)
+	return actions
+}
+
+func (m *Machine) expire(now clock.Millis, actions *Actions) {
+	for key, i := range m.items {
+		if now >= i.Expires {
+			actions.GiveUp = append(actions.GiveUp, key)
+			m.leave(i)
+			delete(m.items, key)
+		}
+	}
+}
+
+// yield pauses items while a runner has more work than places. Engines run what
+// they get in the order of arrival, so an online request would else wait for an
+// item's end, seconds later. The items with the most time left give way.
+func (m *Machine) yield(now clock.Millis, r *toucanhingev1.Runner, around Surroundings, actions *Actions) {
+	mine := m.running[r.GetId()]
+	if len(mine) == 0 {
+		return
+	}
+	load := around.Load(r.GetId())
+	over := min(load.Online+load.Batch+len(mine)-int(r.GetSlots()), len(mine))
+	if over <= 0 {
+		return
+	}
+	byDue := slices.Clone(mine)
+	slices.SortFunc(byDue, func(a, b *item) int { return cmp.Compare(b.Due, a.Due) })
+	for _, i := range byDue[:over] {
+		i.ran += now - i.began
+		m.leave(i)
+		actions.Pause = append(actions.Pause, i.Key)
+	}
+}
+
+// place is a runner with the places that are free there.
+type place struct {
+	runner *toucanhingev1.Runner
+	free   int
+	near   bool
+}
+
+func (m *Machine) fill(now clock.Millis, around Surroundings, actions *Actions) {
+	places := m.places(now, around)
+	if len(places) == 0 {
+		return
+	}
+	for _, i := range m.waiting(now) {
+		services := around.Services(i.Key.Job)
+		p := best(places, services)
+		if p == nil {
+			continue
+		}
+		p.free--
+		i.runner, i.began = p.runner.GetId(), now
+		m.running[i.runner] = append(m.running[i.runner], i)
+		actions.Start = append(actions.Start, Start{Key: i.Key, Runner: p.runner})
+	}
+}
+
+func (m *Machine) places(now clock.Millis, around Surroundings) []*place {
+	var places []*place
+	for _, r := range around.Runners {
+		if r.GetLeaving() || m.blocked[r.GetId()] > now {
+			continue
+		}
+		load := around.Load(r.GetId())
+		free := int(r.GetSlots()) - load.Online - load.Batch - len(m.running[r.GetId()])
+		if free > 0 {
+			places = append(places, &place{runner: r, free: free, near: around.Near(r)})
+		}
+	}
+	return places
+}
+
+// best is the place with the most room, a near one if there is as much.
+func best(places []*place, services []string) *place {
+	var found *place
+	for _, p := range places {
+		if p.free <= 0 || !slices.Contains(services, p.runner.GetService()) {
+			continue
+		}
+		if found == nil || p.free > found.free || p.free == found.free && p.near && !found.near {
+			found = p
+		}
+	}
+	return found
+}
+
+// waiting lists the items to start, in order: first those that can still be in
+// time, by when they are due; then the late ones. Under overload the other way
+// round each place would go to an item that is late already, and all would be.
+func (m *Machine) waiting(now clock.Millis) []*item {
+	var list []*item
+	for _, i := range m.items {
+		if i.runner == "" && i.notBefore <= now {
+			list = append(list, i)
+		}
+	}
+	slices.SortFunc(list, func(a, b *item) int {
+		return cmp.Or(
+			compareBool(m.late(now, a), m.late(now, b)),
+			cmp.Compare(a.Due, b.Due),
+			cmp.Compare(a.order, b.order),
+		)
+	})
+	return list
+}
+
+func (m *Machine) late(now clock.Millis, i *item) bool {
+	return now+max(m.meanRun-i.ran, 0) > i.Due
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- /dev/null
+++ b/control/pkg/systemstate/snapshot.go
@@ -0,0 +1,94 @@
+package systemstate
+
+import (
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/routing"
+	"toucanhinge.example/control/pkg/segment"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+func encode(m proto.Message) []byte {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		panic(fmt.Sprintf("a message can't be encoded: %v", err))
+	}
+	return data
+}
+
+// Save writes the state but for the segments, which the caller adds.
+func (s *State) Save() *toucanhingev1.SystemSnapshot {
+	snapshot := &toucanhingev1.SystemSnapshot{NowMs: int64(s.now)}
+	if s.table != nil {
+		snapshot.Table = s.table.Wire()
+	}
+	ids := make([]string, 0, len(s.jobs))
+	for id := range s.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		snapshot.Jobs = append(snapshot.Jobs, s.jobs[id].save())
+	}
+	for _, v := range s.VMs() {
+		snapshot.Vms = append(snapshot.Vms, &toucanhingev1.SavedVM{
+			Name: v.Name, Address: v.Address, Identity: v.Identity, Retiring: v.Retiring,
+		})
+	}
+	return snapshot
+}
+
+func (j *Job) save() *toucanhingev1.SavedBatchJob {
+	saved := &toucanhingev1.SavedBatchJob{
+		Id: j.ID, Host: j.Host, Target: j.Target, AcceptedMs: int64(j.Accepted), Ended: j.Ended, Listed: j.Listed,
+	}
+	for i := range j.Items {
+		item := &j.Items[i]
+		saved.Items = append(saved.Items, &toucanhingev1.SavedBatchItem{
+			Id: item.ID, Tokens: item.Tokens, Failures: item.Failures, Completed: item.Completed,
+			Request: uint64(item.Request), Text: uint64(item.Text),
+		})
+	}
+	return saved
+}
+
+// Restore makes the state that Save wrote.
+func Restore(config Config, snapshot *toucanhingev1.SystemSnapshot) (*State, error) {
+	s := New(config)
+	s.now = clock.Millis(snapshot.GetNowMs())
+	if snapshot.GetTable() != nil {
+		table, err := routing.New(snapshot.GetTable())
+		if err != nil {
+			return nil, fmt.Errorf("restore the routing table: %w", err)
+		}
+		s.table = table
+	}
+	for _, saved := range snapshot.GetJobs() {
+		s.jobs[saved.GetId()] = restoreJob(saved)
+	}
+	for _, v := range snapshot.GetVms() {
+		s.vms[v.GetName()] = &VM{Name: v.GetName(), Address: v.GetAddress(), Identity: v.GetIdentity(), Retiring: v.GetRetiring()}
+	}
+	return s, nil
+}
+
+func restoreJob(saved *toucanhingev1.SavedBatchJob) *Job {
+	j := &Job{
+		ID: saved.GetId(), Host: saved.GetHost(), Target: saved.GetTarget(),
+		Accepted: clock.Millis(saved.GetAcceptedMs()), Ended: saved.GetEnded(), Listed: saved.GetListed(),
+	}
+	for _, item := range saved.GetItems() {
+		j.Items = append(j.Items, Item{
+			ID: item.GetId(), Tokens: item.GetTokens(), Failures: item.GetFailures(), Completed: item.GetCompleted(),
+			Request: segment.Ref(item.GetRequest()), Text: segment.Ref(item.GetText()),
+		})
+	}
+	for _, index := range j.Listed {
+		j.Items[index].Done = true
+	}
+	return j
+}
--- /dev/null
+++ b/gateway/pkg/core/follower.go
@@ -0,0 +1,108 @@
+// Package core follows the core: it tells the leader that this gateway is there,
+// and takes over routing tables, runners and the addresses of other daemons.
+package core
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"toucanhinge.example/common/pkg/control"
+	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/routing"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+const (
+	// group is the number of the core's consensus group.
+	group = 0
+	// waitTime is how long the leader may keep a call waiting for news. A call
+	// takes longer only if its connection is dead.
+	waitTime = 700 * time.Millisecond
+	// failurePause is the pause after a call that found no leader.
+	failurePause = 100 * time.Millisecond
+	// attendTime bounds one round of looking for the leader.
+	attendTime = 4 * time.Second
+)
+
+// Config describes a follower.
+type Config struct {
+	Name          string
+	DigestAddress string
+	// Core calls the leader, wherever it is.
+	Core   *control.Client
+	Logger log.Logger
+	// Table and Fleet take over what is new.
+	Table func(*routing.Table)
+	Fleet func(*toucanhingev1.FleetView)
+	// Seeds lists addresses to fall back on when no known VM of the core answers.
+	Seeds func() []string
+}
+
+// Follower follows the core.
+type Follower struct {
+	config  Config
+	version uint64
+	fleet   uint64
+}
+
+// New makes a follower.
+func New(config Config) *Follower { return &Follower{config: config} }
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := f.once(ctx); err != nil && ctx.Err() == nil {
+			level.Warn(f.config.Logger).Log(logs.KeyEvent, "core-unreachable", logs.KeyError, err)
+			if seeds := f.config.Seeds(); len(seeds) > 0 {
+				f.config.Core.SetAddresses(seeds)
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(failurePause):
+			}
+		}
+	}
+}
+
+func (f *Follower) once(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, attendTime)
+	defer cancel()
+	answer, err := control.Call(ctx, f.config.Core, group, "attend", f.attend)
+	if err != nil {
+		return err
+	}
+	f.take(answer)
+	return nil
+}
+
+func (f *Follower) attend(ctx context.Context, leader *control.Replica) (*toucanhingev1.AttendResponse, error) {
+	answer, err := leader.Core.Attend(ctx, connect.NewRequest(&toucanhingev1.AttendRequest{
+		Name: f.config.Name, DigestAddress: f.config.DigestAddress, HaveVersion: f.version, HaveFleet: f.fleet,
+		WaitMs: uint32(waitTime.Milliseconds()),
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return answer.Msg, nil
+}
+
+func (f *Follower) take(answer *toucanhingev1.AttendResponse) {
+	if wire := answer.GetTable(); wire != nil {
+		table, err := routing.New(wire)
+		if err != nil {
+			level.Error(f.config.Logger).Log(logs.KeyEvent, "table-unreadable", "version", wire.GetVersion(), logs.KeyError, err)
+			return
+		}
+		f.version = table.Version
+		f.config.Table(table)
+	}
+	if fleet := answer.GetFleet(); fleet != nil {
+		f.fleet = fleet.GetRevision()
+		f.config.Core.SetAddresses(fleet.GetCoreAddresses())
+		f.config.Fleet(fleet)
+	}
+}
--- /dev/null
+++ b/gateway/pkg/forward/exchange.go
@@ -0,0 +1,362 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/occupancy"
+	"toucanhinge.example/common/pkg/routing"
+	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/gateway/pkg/place"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+const (
+	// refusedPause keeps requests off a runner that was full when we thought it
+	// wasn't: about the time in which one of its places becomes free.
+	refusedPause clock.Millis = 60
+	// unreachablePause keeps requests off a runner that can't be reached. It is
+	// tried again about once a second, by a request that can go elsewhere.
+	unreachablePause clock.Millis = 1_000
+	// otherPause keeps requests off an address that another instance has: the
+	// list of runners will say so within a second or two.
+	otherPause clock.Millis = 5_000
+	// brokenPause is how long a runner that broke a call off is a last choice.
+	brokenPause clock.Millis = 1_000
+	// mostTries bounds the runners that are asked for one request, those that
+	// didn't run it included.
+	mostTries = 6
+	// headroom is kept between the expected wait and the objective: the first
+	// event itself takes some 30 ms.
+	headroom clock.Millis = 50
+	// wholeBody is the largest body of an answer that is read whole before it is
+	// passed on, so that a runner that breaks off can be replaced unseen.
+	wholeBody = 64 << 10
+)
+
+var (
+	errSilent = errors.New("the runner sent nothing for too long")
+	errGap    = errors.New("an event of the stream is missing")
+	errLeft   = errors.New("the caller left")
+	errStatus = errors.New("the runner failed the request")
+)
+
+// exchange is one request on its way.
+type exchange struct {
+	server  *Server
+	w       http.ResponseWriter
+	route   routing.Route
+	request Request
+	service string
+	ends    clock.Millis
+
+	// tried are the runners asked, ran how many of them may have run it.
+	tried []string
+	ran   int
+	// begun says that the answer's header went to the caller.
+	begun  bool
+	resume bool
+	after  uint64
+	events int
+
+	outcome string
+	reason  string
+	firstAt clock.Millis
+	// wait is what the last choice expected.
+	wait clock.Millis
+	err  error
+}
+
+func (e *exchange) now() clock.Millis { return e.server.config.Clock.Now() }
+
+// serve tries runners until the request is answered or given up.
+func (e *exchange) serve(ctx context.Context) {
+	for len(e.tried) < mostTries {
+		choice, refusal := e.choose()
+		if refusal != nil {
+			e.giveUp(ctx, *refusal)
+			return
+		}
+		again := e.attempt(ctx, choice.Runner)
+		if !again {
+			return
+		}
+		if ctx.Err() != nil {
+			e.giveUp(ctx, Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonTimeLimit})
+			return
+		}
+	}
+	e.giveUp(ctx, e.refusal(ReasonNoRunner, 0))
+}
+
+// choose finds a place, or says why the request is refused. A request that can't
+// be begun in time is refused at once: its caller can come back when there is
+// room, while a late answer would take the place from one that is in time.
+func (e *exchange) choose() (place.Choice, *Refusal) {
+	choice, found := e.server.choose(place.Ask{Service: e.service, Tried: e.tried})
+	if !found {
+		r := e.refusal(ReasonNoRunner, 0)
+		return choice, &r
+	}
+	e.wait = choice.Wait
+	waited := e.now() - e.request.Arrived
+	if objective := e.route.Objective(); !e.begun && objective > 0 && choice.Wait > 0 && waited+choice.Wait+headroom > objective {
+		r := e.refusal(ReasonFull, choice.Wait)
+		return choice, &r
+	}
+	return choice, nil
+}
+
+// refusal tells when to come back: when a place will be free, spread over as
+// long again, so that those who were refused together don't return together.
+func (e *exchange) refusal(reason string, wait clock.Millis) Refusal {
+	base := max(wait, 100)
+	return Refusal{
+		Status: http.StatusServiceUnavailable, Reason: reason,
+		RetryAfter: (base + clock.Millis(rand.Int64N(int64(base)))).Duration(),
+	}
+}
+
+// giveUp ends a request that can't be served, with the truth about whether it
+// may have run.
+func (e *exchange) giveUp(ctx context.Context, refusal Refusal) {
+	e.reason = refusal.Reason
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		e.outcome = outcomeLeft
+	case e.begun:
+		e.cut()
+	case e.ran > 0:
+		e.fail(refusal.Reason)
+	default:
+		e.outcome = outcomeRefused
+		e.server.Refuse(e.w, refusal)
+	}
+}
+
+// fail answers that the request failed, and may have run.
+func (e *exchange) fail(reason string) {
+	e.outcome, e.reason = outcomeFailed, reason
+	status := http.StatusBadGateway
+	if reason == ReasonTimeLimit {
+		status = http.StatusGatewayTimeout
+	}
+	e.server.Refuse(e.w, Refusal{Status: status, Reason: reason})
+}
+
+// cut ends an answer whose beginning has gone out, so that it can't look whole.
+func (e *exchange) cut() {
+	e.outcome = outcomeCut
+}
+
+// attempt asks one runner; again says that another one should be asked.
+func (e *exchange) attempt(parent context.Context, r *toucanhingev1.Runner) (again bool) {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	e.tried = append(e.tried, r.GetId())
+	e.server.config.Exchange.Add(r.GetId(), occupancy.Load{Online: 1})
+	defer e.server.config.Exchange.Add(r.GetId(), occupancy.Load{Online: -1})
+	began := e.now()
+	silence := e.watch(cancel)
+	defer silence.stop()
+	answer, err := e.server.config.Client.Open(ctx, e.call(r))
+	if err != nil {
+		return e.unanswered(parent, r, silence.explain(parent, err))
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.NotRun || answer.Other {
+		return e.notRun(r, answer)
+	}
+	e.ran++
+	if answer.Status >= http.StatusInternalServerError && e.mayRepeat() && !e.begun {
+		return e.retry(r, "runner-error", fmt.Errorf("%w: %d", errStatus, answer.Status))
+	}
+	if e.begun && answer.Status != http.StatusOK {
+		return e.retry(r, "runner-error", fmt.Errorf("%w: %d", errStatus, answer.Status))
+	}
+	if e.route.Streams() && answer.Status == http.StatusOK {
+		err = silence.explain(parent, e.stream(answer, silence))
+	} else {
+		err = e.pass(answer)
+	}
+	if err == nil {
+		e.finish(answer)
+		span := e.now() - began
+		e.server.learn(func(m *place.Machine) { m.Held(e.service, span) })
+		return false
+	}
+	return e.broken(parent, r, err)
+}
+
+func (e *exchange) call(r *toucanhingev1.Runner) runner.Call {
+	return runner.Call{
+		Runner: r, Request: e.request.ID, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
+		Header: e.request.Header, Body: e.request.Body, Chunked: e.request.Chunked,
+		Left: max(e.ends-e.now(), 1), Resume: e.resume, After: e.after,
+	}
+}
+
+// unanswered handles a call without an answer.
+func (e *exchange) unanswered(ctx context.Context, r *toucanhingev1.Runner, err error) (again bool) {
+	var unsent *runner.NotSentError
+	if errors.As(err, &unsent) {
+		if ctx.Err() == nil {
+			e.server.learn(func(m *place.Machine) { m.Block(r.GetId(), e.now()+unreachablePause) })
+		}
+		return e.again(r, "unreachable", err)
+	}
+	e.ran++
+	return e.broken(ctx, r, err)
+}
+
+// notRun handles a runner's word that it didn't run the request.
+func (e *exchange) notRun(r *toucanhingev1.Runner, answer *runner.Answer) (again bool) {
+	pause, reason := refusedPause, "runner-full"
+	if answer.Other {
+		pause, reason = otherPause, "other-instance"
+	}
+	e.server.learn(func(m *place.Machine) { m.Block(r.GetId(), e.now()+pause) })
+	return e.again(r, reason, nil)
+}
+
+// broken handles a call that ended early, after it was sent.
+func (e *exchange) broken(ctx context.Context, r *toucanhingev1.Runner, err error) (again bool) {
+	e.err = err
+	if errors.Is(err, errLeft) || errors.Is(ctx.Err(), context.Canceled) {
+		e.outcome = outcomeLeft
+		return false
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		e.giveUp(ctx, Refusal{Reason: ReasonTimeLimit})
+		return false
+	}
+	e.server.learn(func(m *place.Machine) { m.Doubt(r.GetId(), e.now()+brokenPause) })
+	if !e.mayRepeat() {
+		e.giveUp(ctx, Refusal{Reason: ReasonBroken})
+		return false
+	}
+	return e.again(r, "broke-off", err)
+}
+
+func (e *exchange) retry(r *toucanhingev1.Runner, reason string, err error) (again bool) {
+	e.server.learn(func(m *place.Machine) { m.Doubt(r.GetId(), e.now()+brokenPause) })
+	return e.again(r, reason, err)
+}
+
+func (e *exchange) again(r *toucanhingev1.Runner, reason string, err error) bool {
+	e.err = err
+	e.server.metrics.retried.WithLabelValues(reason).Inc()
+	level.Info(e.server.config.Logger).Log(logs.KeyEvent, "request-goes-elsewhere", logs.KeyRequest, e.request.ID,
+		"runner", r.GetId(), "reason", reason, "ran", e.ran, logs.KeyError, err)
+	return true
+}
+
+// mayRepeat says whether the request may run at one more runner.
+func (e *exchange) mayRepeat() bool {
+	return e.route.Repeatable() && e.ran < int(max(e.route.MaxAttempts, 1))
+}
+
+// begin sends the answer's header to the caller.
+func (e *exchange) begin(answer *runner.Answer) {
+	if e.begun {
+		return
+	}
+	e.begun = true
+	header := e.w.Header()
+	for name, values := range answer.Header {
+		if !hopByHop[name] {
+			header[name] = values
+		}
+	}
+	if answer.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	if header.Get("Date") == "" {
+		// The answer's header is the runner's; we add none of our own.
+		header["Date"] = nil
+	}
+	if header.Get("Content-Type") == "" {
+		header["Content-Type"] = nil
+	}
+	e.server.closeIfLeaving(header)
+	e.w.WriteHeader(answer.Status)
+}
+
+// hopByHop are the fields that concern one connection only.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+}
+
+// pass passes an answer on that is no stream.
+func (e *exchange) pass(answer *runner.Answer) error {
+	head, err := io.ReadAll(io.LimitReader(answer.Body, wholeBody))
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	e.begin(answer)
+	if _, err := e.w.Write(head); err != nil {
+		return fmt.Errorf("%w: %w", errLeft, err)
+	}
+	if len(head) < wholeBody {
+		return nil
+	}
+	rest := &sourceError{source: answer.Body}
+	if _, err := io.Copy(e.w, rest); err != nil {
+		if rest.err != nil {
+			return fmt.Errorf("read answer: %w", rest.err)
+		}
+		return fmt.Errorf("%w: %w", errLeft, err)
+	}
+	return nil
+}
+
+// sourceError remembers whether a copy failed because of its source.
+type sourceError struct {
+	source io.Reader
+	err    error
+}
+
+// Read implements io.Reader.
+func (s *sourceError) Read(p []byte) (int, error) {
+	n, err := s.source.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.err = err
+	}
+	return n, err
+}
+
+func (e *exchange) finish(answer *runner.Answer) {
+	e.outcome = outcomeServed
+	if answer.Status >= http.StatusInternalServerError {
+		e.outcome = outcomePassedOn
+	}
+}
+
+// report logs how the request ended. A cut answer ends by breaking the caller's
+// connection: its beginning has gone out, and it must not look whole.
+func (e *exchange) report() {
+	e.server.metrics.requests.WithLabelValues(e.outcome).Inc()
+	now := e.now()
+	first := clock.Millis(-1)
+	if e.firstAt > 0 {
+		first = e.firstAt - e.request.Arrived
+		e.server.metrics.first.Observe(first.Duration().Seconds())
+	}
+	level.Info(e.server.config.Logger).Log(logs.KeyEvent, "request-ended", logs.KeyRequest, e.request.ID,
+		"route", e.route.Name, "outcome", e.outcome, "reason", e.reason, "runners", e.tried, "ran", e.ran,
+		"expected-wait-ms", e.wait, "first-ms", first, "took-ms", now-e.request.Arrived, "events", e.events,
+		"left-ms", e.ends-now, logs.KeyError, e.err)
+	if e.outcome == outcomeCut {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/gateway/pkg/forward/server.go
@@ -0,0 +1,190 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/digest"
+	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/occupancy"
+	"toucanhinge.example/common/pkg/routing"
+	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/gateway/pkg/place"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+// Config describes a server.
+type Config struct {
+	Client     runner.Client
+	Exchange   *digest.Exchange
+	DataCentre string
+	Clock      clock.Clock
+	Logger     log.Logger
+	Registerer prometheus.Registerer
+}
+
+// Server serves requests by the routing table and the runners that it was given
+// last.
+type Server struct {
+	config  Config
+	table   atomic.Pointer[routing.Table]
+	metrics *metrics
+	leaving atomic.Bool
+
+	mu     sync.Mutex
+	places *place.Machine
+}
+
+type metrics struct {
+	requests *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	retried  *prometheus.CounterVec
+	first    prometheus.Histogram
+}
+
+// New makes a server without routes.
+func New(config Config) *Server {
+	factory := promauto.With(config.Registerer)
+	return &Server{
+		config: config, places: place.New(place.Config{DataCentre: config.DataCentre}),
+		metrics: &metrics{
+			requests: factory.NewCounterVec(prometheus.CounterOpts{
+				Name: "toucanhinge_requests_total", Help: "Online requests by outcome.",
+			}, []string{"outcome"}),
+			refused: factory.NewCounterVec(prometheus.CounterOpts{
+				Name: "toucanhinge_requests_refused_total", Help: "Requests that were refused or failed, by reason.",
+			}, []string{"reason"}),
+			retried: factory.NewCounterVec(prometheus.CounterOpts{
+				Name: "toucanhinge_requests_retried_total", Help: "Calls that went on at another runner, by reason.",
+			}, []string{"reason"}),
+			first: factory.NewHistogram(prometheus.HistogramOpts{
+				Name: "toucanhinge_first_event_seconds", Help: "Time from a request's arrival to its first event.",
+				Buckets: []float64{.01, .02, .05, .1, .2, .3, .5, 1, 2, 5},
+			}),
+		},
+	}
+}
+
+// SetTable puts a routing table in force, unless it is older than the present one.
+func (s *Server) SetTable(table *routing.Table) {
+	for {
+		present := s.table.Load()
+		if present != nil && present.Version >= table.Version {
+			return
+		}
+		if s.table.CompareAndSwap(present, table) {
+			level.Info(s.config.Logger).Log(logs.KeyEvent, "table-in-force", "version", table.Version)
+			return
+		}
+	}
+}
+
+// Table is the routing table in force, nil before the first.
+func (s *Server) Table() *routing.Table { return s.table.Load() }
+
+// Version of the routing table in force, 0 before the first.
+func (s *Server) Version() uint64 {
+	if t := s.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// SetRunners replaces the known runners.
+func (s *Server) SetRunners(runners []*toucanhingev1.Runner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.places.SetRunners(runners)
+}
+
+// Leave makes every answer from now on the last of its connection.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Route finds the route of a request.
+func (s *Server) Route(host, target string) (routing.Route, *Refusal) {
+	table := s.table.Load()
+	if table == nil {
+		return routing.Route{}, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoTable, RetryAfter: tableRetry}
+	}
+	route, found := table.Match(host, routing.PathOf(target))
+	if !found {
+		return route, &Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute}
+	}
+	return route, nil
+}
+
+// tableRetry is when a gateway that has just started will know its routes.
+const tableRetry = 500 * time.Millisecond
+
+// Serve answers a request on a route.
+func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, route routing.Route, request Request) {
+	limit := route.TimeLimit()
+	if request.Patience > 0 {
+		limit = min(limit, request.Patience)
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add((limit - (s.config.Clock.Now() - request.Arrived)).Duration()))
+	defer cancel()
+	e := &exchange{
+		server: s, w: w, route: route, request: request, ends: request.Arrived + limit,
+		service: route.Service(rand.Float64()), after: request.After, resume: request.Resume,
+	}
+	e.serve(ctx)
+	e.report()
+}
+
+// choose takes a place for a call.
+func (s *Server) choose(ask place.Ask) (place.Choice, bool) {
+	ask.Tie = rand.Float64()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var choice place.Choice
+	ok := false
+	s.config.Exchange.View(func(t *occupancy.Table) {
+		choice, ok = s.places.Choose(s.config.Clock.Now(), ask, func(id string) place.Load {
+			l := t.Load(id)
+			return place.Load{Online: l.Online, Batch: l.Batch}
+		})
+	})
+	return choice, ok
+}
+
+// learn runs a change of what is known of the runners.
+func (s *Server) learn(change func(*place.Machine)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.places)
+}
+
+// Refuse answers that a request wasn't run.
+func (s *Server) Refuse(w http.ResponseWriter, refusal Refusal) {
+	s.metrics.refused.WithLabelValues(refusal.Reason).Inc()
+	header := w.Header()
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	s.closeIfLeaving(header)
+	body := `{"error":"` + refusal.Reason + `"}`
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(refusal.Status)
+	if _, err := w.Write([]byte(body)); err != nil {
+		level.Debug(s.config.Logger).Log(logs.KeyEvent, "refusal-unsent", logs.KeyError, err)
+	}
+}
+
+func (s *Server) closeIfLeaving(header http.Header) {
+	if s.leaving.Load() {
+		header.Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/gateway/pkg/forward/stream.go
@@ -0,0 +1,115 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/common/pkg/sse"
+)
+
+const (
+	// eventBuffer holds some events of about 100 bytes.
+	eventBuffer = 2 << 10
+	// gapShare is the part of the route's longest pause after which a stream
+	// goes on elsewhere: the rest is left for the new runner's first event.
+	gapShare = 0.6
+	// firstShare is the same part of the route's objective for the first event,
+	// counted after the wait for a place that was expected.
+	firstShare = 0.5
+	// leastGap is the shortest silence that counts. Runners make an event every
+	// 20 ms, 80 when slow, and our own processor may be busy for some tens.
+	leastGap clock.Millis = 100
+)
+
+// stream passes events on, one by one, each whole. An event that broke off in
+// the middle never reaches the caller, so that the stream can go on at another
+// runner right after the last one.
+func (e *exchange) stream(answer *runner.Answer, silence *silenceTimer) error {
+	reader := sse.NewReader(answer.Body, eventBuffer)
+	flusher := http.NewResponseController(e.w)
+	for {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			e.begin(answer)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		silence.restart(e.longestGap())
+		if event.Numbered {
+			if e.resume && event.ID != e.after+1 {
+				return errGap
+			}
+			e.after, e.resume = event.ID, true
+		}
+		if e.firstAt == 0 {
+			e.firstAt = e.now()
+		}
+		e.begin(answer)
+		e.events++
+		if _, err := e.w.Write(event.Raw); err != nil {
+			return fmt.Errorf("%w: %w", errLeft, err)
+		}
+		if err := flusher.Flush(); err != nil {
+			return fmt.Errorf("%w: %w", errLeft, err)
+		}
+	}
+}
+
+func (e *exchange) longestGap() clock.Millis {
+	return max(clock.Millis(gapShare*float64(e.route.GapObjectiveMs)), leastGap)
+}
+
+func (e *exchange) longestFirst() clock.Millis {
+	return e.wait + max(clock.Millis(firstShare*float64(e.route.Objective())), leastGap)
+}
+
+// watch breaks a call off after a silence, if the request may go on elsewhere. A
+// runner that can't be replaced is waited for: its silence proves nothing.
+func (e *exchange) watch(breakOff func()) *silenceTimer {
+	t := &silenceTimer{}
+	if !e.route.Streams() || !e.route.Resumable || e.ran+1 >= int(e.route.MaxAttempts) {
+		return t
+	}
+	t.timer = time.AfterFunc(e.longestFirst().Duration(), func() {
+		t.fired.Store(true)
+		breakOff()
+	})
+	return t
+}
+
+// silenceTimer runs out when no event comes; one without a timer never does.
+type silenceTimer struct {
+	timer *time.Timer
+	fired atomic.Bool
+}
+
+func (t *silenceTimer) restart(span clock.Millis) {
+	if t.timer != nil && t.timer.Stop() {
+		t.timer.Reset(span.Duration())
+	}
+}
+
+func (t *silenceTimer) stop() {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+}
+
+// explain names the silence as the cause of an error that it led to.
+func (t *silenceTimer) explain(ctx context.Context, err error) error {
+	var unsent *runner.NotSentError
+	if err != nil && t.fired.Load() && ctx.Err() == nil && !errors.As(err, &unsent) {
+		return errSilent
+	}
+	return err
+}
--- /dev/null
+++ b/gateway/pkg/place/place.go
@@ -0,0 +1,198 @@
+// Package place chooses the runner for an online request. The load that it
+// answers: bursts that need nearly every place of the fleet for some seconds,
+// sent through many gateways at once, while batch items hold the places that
+// were free. So it counts what all daemons have under way, not what runners
+// reported; takes a free place before one that an item must give back; and
+// knows when no place will be free in time. It holds no goroutine, socket or
+// clock.
+package place
+
+import (
+	"slices"
+
+	"toucanhinge.example/common/pkg/clock"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+// Costs of a choice in milliseconds until the first event, estimated.
+const (
+	// yieldCost is what it takes for an item to give its place back: the digest
+	// travels 1 to 6 ms, closing the item's call another one.
+	yieldCost = 6.0
+	// farCost is two ways between data centres, and the price of the bytes.
+	farCost = 3.0
+	// fullCost is how much slower a full runner is than an empty one.
+	fullCost = 1.0
+	// leastHold is the least time that a request is taken to hold its place.
+	leastHold = 50.0
+	// holdWeight is the weight of the newest request in the mean.
+	holdWeight = 0.05
+	// firstHold is taken until requests have been measured.
+	firstHold = 700.0
+	// doubtCost is added to a runner that has just failed a call.
+	doubtCost = 100.0
+)
+
+// Load is what all daemons have under way at a runner.
+type Load struct {
+	Online int
+	Batch  int
+}
+
+// Ask describes a request that needs a runner.
+type Ask struct {
+	Service string
+	// Tried runners are taken only if there is no other.
+	Tried []string
+	// Tie is from 0 to below 1, and spreads equal choices over the gateways.
+	Tie float64
+}
+
+// Choice is a runner, and how long the request will probably wait there for a
+// place.
+type Choice struct {
+	Runner *toucanhingev1.Runner
+	// Wait is a span.
+	Wait clock.Millis
+}
+
+// Config describes a machine.
+type Config struct {
+	// DataCentre is the gateway's own.
+	DataCentre string
+}
+
+// Machine keeps what this gateway has learnt of the runners.
+type Machine struct {
+	config  Config
+	runners []*toucanhingev1.Runner
+	blocked map[string]clock.Millis
+	doubted map[string]clock.Millis
+	hold    map[string]float64
+}
+
+// New makes a machine that knows no runner.
+func New(config Config) *Machine {
+	return &Machine{
+		config: config, blocked: map[string]clock.Millis{}, doubted: map[string]clock.Millis{}, hold: map[string]float64{},
+	}
+}
+
+// SetRunners replaces the known runners.
+func (m *Machine) SetRunners(runners []*toucanhingev1.Runner) {
+	m.runners = runners
+	known := func(id string) bool {
+		return slices.ContainsFunc(runners, func(r *toucanhingev1.Runner) bool { return r.GetId() == id })
+	}
+	for id := range m.blocked {
+		if !known(id) {
+			delete(m.blocked, id)
+		}
+	}
+	for id := range m.doubted {
+		if !known(id) {
+			delete(m.doubted, id)
+		}
+	}
+}
+
+// Block keeps requests off a runner until a time: it refused one, or can't be
+// reached.
+func (m *Machine) Block(id string, until clock.Millis) {
+	m.blocked[id] = max(m.blocked[id], until)
+}
+
+// Doubt makes a runner a last choice until a time: a call to it broke off.
+func (m *Machine) Doubt(id string, until clock.Millis) {
+	m.doubted[id] = max(m.doubted[id], until)
+}
+
+// Held notes how long a request held its place, a span.
+func (m *Machine) Held(service string, span clock.Millis) {
+	if m.hold[service] == 0 {
+		m.hold[service] = firstHold
+	}
+	m.hold[service] += holdWeight * (float64(span) - m.hold[service])
+}
+
+// Hold is the mean time that a request of a service holds its place.
+func (m *Machine) Hold(service string) float64 {
+	if m.hold[service] == 0 {
+		return firstHold
+	}
+	return max(m.hold[service], leastHold)
+}
+
+// Choose picks the runner with the least cost; ok is false if the service has
+// none that takes work.
+func (m *Machine) Choose(now clock.Millis, ask Ask, load func(runner string) Load) (choice Choice, ok bool) {
+	able := m.able(now, ask)
+	if len(able) == 0 {
+		return Choice{}, false
+	}
+	hold := m.Hold(ask.Service)
+	offset := int(ask.Tie * float64(len(able)))
+	best := -1.0
+	for i := range able {
+		r := able[(i+offset)%len(able)]
+		wait := waitAt(r, load(r.GetId()), hold)
+		cost := wait + m.extra(now, r, load(r.GetId()))
+		if best < 0 || cost < best {
+			best = cost
+			choice = Choice{Runner: r, Wait: clock.Millis(wait)}
+		}
+	}
+	return choice, true
+}
+
+func (m *Machine) able(now clock.Millis, ask Ask) []*toucanhingev1.Runner {
+	var able, tried []*toucanhingev1.Runner
+	for _, r := range m.runners {
+		switch {
+		case r.GetService() != ask.Service || r.GetLeaving() || m.blocked[r.GetId()] > now:
+		case slices.Contains(ask.Tried, r.GetId()):
+			tried = append(tried, r)
+		default:
+			able = append(able, r)
+		}
+	}
+	if len(able) == 0 {
+		return tried
+	}
+	return able
+}
+
+// waitAt estimates how long a request waits for a place. Requests begin and end
+// at any time, so with all places taken the first becomes free after a hold
+// divided by the places.
+func waitAt(r *toucanhingev1.Runner, load Load, hold float64) float64 {
+	slots := int(r.GetSlots())
+	switch {
+	case load.Online+load.Batch < slots:
+		return 0
+	case load.Online < slots:
+		return yieldCost
+	default:
+		return float64(load.Online-slots+1) * hold / float64(slots)
+	}
+}
+
+func (m *Machine) extra(now clock.Millis, r *toucanhingev1.Runner, load Load) float64 {
+	cost := fullCost * float64(load.Online+load.Batch) / float64(r.GetSlots())
+	if r.GetDataCentre() != m.config.DataCentre {
+		cost += farCost
+	}
+	if m.doubted[r.GetId()] > now {
+		cost += doubtCost
+	}
+	return cost
+}
+
+// Places counts the places of a service and those that online work takes.
+func (m *Machine) Places(now clock.Millis, service string, load func(runner string) Load) (places, taken int) {
+	for _, r := range m.able(now, Ask{Service: service}) {
+		places += int(r.GetSlots())
+		taken += load(r.GetId()).Online
+	}
+	return places, taken
+}
