--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -403,7 +403,7 @@
 
 // request reads an item's request and the host of its job.
 func (d *Driver) request(key dispatch.Key) (item *toucanhingev1.JobItem, host string, err error) {
-	var ref, found = systemstate.Item{}, false
+	ref, found := systemstate.Item{}, false
 	d.config.Machine.View(func(s *systemstate.State) {
 		if j := s.Job(key.Job); j != nil && int(key.Index) < len(j.Items) {
 			ref, host, found = j.Items[key.Index], j.Host, true
--- a/control/pkg/core/fleet.go
+++ b/control/pkg/core/fleet.go
@@ -22,6 +22,8 @@
 
 	mu       sync.Mutex
 	revision uint64
+	// known says that the list of runners was read since this leader began.
+	known    bool
 	runners  []*toucanhingev1.Runner
 	gateways map[string]gateway
 	// vms are the VMs of the core that announced themselves, by address.
@@ -49,6 +51,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision = term << 32
+	f.known = false
 	f.gateways = map[string]gateway{}
 	f.vms = map[string]announced{}
 }
@@ -65,9 +68,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	same := func(a, b *toucanhingev1.Runner) bool { return proto.Equal(a, b) }
-	if slices.EqualFunc(f.runners, runners, same) {
+	if f.known && slices.EqualFunc(f.runners, runners, same) {
 		return false
 	}
+	f.known = true
 	f.runners = runners
 	f.bump()
 	return true
@@ -127,11 +131,13 @@
 	f.changed.fire()
 }
 
-// view is the fleet for daemons that hold an older revision, nil otherwise.
+// view is the fleet for daemons that hold an older revision, nil otherwise. A new
+// leader tells nothing before it has read the list: gateways keep what the one
+// before told, which is at most a moment old.
 func (f *fleet) view(have uint64, self string) *toucanhingev1.FleetView {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.revision == have {
+	if !f.known || f.revision == have {
 		return nil
 	}
 	v := &toucanhingev1.FleetView{Revision: f.revision, Runners: f.runners, CoreAddresses: f.cores, DigestAddresses: []string{self}}
--- a/control/pkg/core/operator.go
+++ b/control/pkg/core/operator.go
@@ -112,4 +112,3 @@
 	}
 	return notLeader.Address, true
 }
-
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -41,6 +41,8 @@
 	table   atomic.Pointer[routing.Table]
 	metrics *metrics
 	leaving atomic.Bool
+	// fleetKnown says that the runners have been told once.
+	fleetKnown atomic.Bool
 
 	mu     sync.Mutex
 	places *place.Machine
@@ -106,8 +108,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.places.SetRunners(runners)
+	s.fleetKnown.Store(true)
 }
 
+// Ready says whether requests can be served: routes and runners are known. A
+// gateway that said so before would refuse what another one could serve.
+func (s *Server) Ready() bool { return s.table.Load() != nil && s.fleetKnown.Load() }
+
 // Leave makes every answer from now on the last of its connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
--- a/gateway/pkg/jobs/service.go
+++ b/gateway/pkg/jobs/service.go
@@ -157,4 +157,3 @@
 		return nil
 	}
 }
-
