--- a/common/pkg/control/client.go
+++ b/common/pkg/control/client.go
@@ -24,6 +24,10 @@
 	// hopLimit bounds how often one call follows leader addresses without a
 	// pause; replicas that name each other in a circle would spin us.
 	hopLimit = 3
+	// suspectTime is how long a control VM that gave no answer is passed over,
+	// and how long others' word that it leads is not believed: those who are cut
+	// off from it too name it until they have elected another one.
+	suspectTime = 2 * time.Second
 )
 
 // Reasons under which retries are counted.
@@ -65,6 +69,7 @@
 	mu       sync.Mutex
 	replicas map[string]*Replica
 	leaders  map[uint32]string
+	suspects map[string]time.Time
 	turn     int
 }
 
@@ -73,7 +78,7 @@
 	if config.AttemptTimeout == 0 {
 		config.AttemptTimeout = attemptTimeout
 	}
-	return &Client{config: config, replicas: map[string]*Replica{}, leaders: map[uint32]string{}}
+	return &Client{config: config, replicas: map[string]*Replica{}, leaders: map[uint32]string{}, suspects: map[string]time.Time{}}
 }
 
 // Replica returns the calls to one control VM.
@@ -134,10 +139,23 @@
 func (c *Client) next() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for range c.config.Addresses {
+		c.turn++
+		address := c.config.Addresses[c.turn%len(c.config.Addresses)]
+		if !c.suspect(address) {
+			return address
+		}
+	}
 	c.turn++
 	return c.config.Addresses[c.turn%len(c.config.Addresses)]
 }
 
+// suspect says whether a control VM gave no answer a moment ago; the caller
+// holds the lock.
+func (c *Client) suspect(address string) bool {
+	return time.Since(c.suspects[address]) < suspectTime
+}
+
 // Leader returns the replica believed to lead the group.
 func (c *Client) Leader(group uint32) *Replica {
 	c.mu.Lock()
@@ -152,9 +170,27 @@
 func (c *Client) learn(group uint32, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.suspect(address) {
+		address = ""
+	}
 	c.leaders[group] = address
 }
 
+// acquit notes that a control VM answered.
+func (c *Client) acquit(r *Replica) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.suspects, r.Address)
+}
+
+// accuse notes that a control VM gave no answer.
+func (c *Client) accuse(r *Replica) {
+	c.mu.Lock()
+	c.suspects[r.Address] = time.Now()
+	c.mu.Unlock()
+	c.drop(r)
+}
+
 // Call runs one call on the group's leader, and looks for the leader until the
 // context ends. It repeats a try whose outcome it does not know, so the call
 // must be idempotent: all calls of the schema to the leader carry their own
@@ -168,12 +204,13 @@
 		answer, err := call(tryCtx, replica)
 		cancel()
 		if err == nil {
+			c.acquit(replica)
 			c.learn(group, replica.Address)
 			return answer, nil
 		}
 		reason, again := c.blame(group, err)
 		if reason == reasonUnreachable {
-			c.drop(replica)
+			c.accuse(replica)
 		}
 		if !again || ctx.Err() != nil {
 			return answer, fmt.Errorf("%s at %s: %w", place, replica.Address, err)
@@ -183,7 +220,7 @@
 		}
 		// A replica that names another leader costs no pause: the call was not
 		// carried out, and the leader is ready for it.
-		if leader, _ := LeaderOf(err); leader != "" && leader != replica.Address && hops < hopLimit {
+		if leader, _ := LeaderOf(err); leader != "" && leader != replica.Address && hops < hopLimit && c.Leader(group).Address == leader {
 			hops++
 			continue
 		}
--- a/gateway/pkg/core/follower.go
+++ b/gateway/pkg/core/follower.go
@@ -19,9 +19,12 @@
 const (
 	// group is the number of the core's consensus group.
 	group = 0
-	// waitTime is how long the leader may keep a call waiting for news. A call
-	// takes longer only if its connection is dead.
-	waitTime = 700 * time.Millisecond
+	// waitTime is how long the leader may keep a call waiting for news, and
+	// answerTime when its answer must be there: later, the leader is cut off, or
+	// gone. A drain must be known within three seconds, and the list of runners
+	// itself lags by almost one.
+	waitTime   = 400 * time.Millisecond
+	answerTime = 700 * time.Millisecond
 	// failurePause is the pause after a call that found no leader.
 	failurePause = 100 * time.Millisecond
 	// attendTime bounds one round of looking for the leader.
@@ -80,6 +83,8 @@
 }
 
 func (f *Follower) attend(ctx context.Context, leader *control.Replica) (*toucanhingev1.AttendResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
 	answer, err := leader.Core.Attend(ctx, connect.NewRequest(&toucanhingev1.AttendRequest{
 		Name: f.config.Name, DigestAddress: f.config.DigestAddress, HaveVersion: f.version, HaveFleet: f.fleet,
 		WaitMs: uint32(waitTime.Milliseconds()),
@@ -102,7 +107,19 @@
 	}
 	if fleet := answer.GetFleet(); fleet != nil {
 		f.fleet = fleet.GetRevision()
+		level.Info(f.config.Logger).Log(logs.KeyEvent, "fleet-taken", "revision", f.fleet, "runners", len(fleet.GetRunners()),
+			"leaving", leaving(fleet), "cores", len(fleet.GetCoreAddresses()), "daemons", len(fleet.GetDigestAddresses()))
 		f.config.Core.SetAddresses(fleet.GetCoreAddresses())
 		f.config.Fleet(fleet)
 	}
 }
+
+func leaving(fleet *toucanhingev1.FleetView) int {
+	count := 0
+	for _, r := range fleet.GetRunners() {
+		if r.GetLeaving() {
+			count++
+		}
+	}
+	return count
+}
