--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -37,6 +38,9 @@
 	// routeGrace is how long a job's route may be missing before its items are
 	// given up: an operator's next change may bring it back.
 	routeGrace clock.Millis = 5_000
+	// keepEvery is how often the progress of running items is logged: what a
+	// change of leader costs at most. The bytes are logged in any case.
+	keepEvery clock.Millis = 1_000
 )
 
 // Config describes a driver.
@@ -68,6 +72,8 @@
 	runs     map[dispatch.Key]*run
 	progress map[dispatch.Key]*progress
 	lost     map[string]clock.Millis
+	keptAt   clock.Millis
+	keeping  atomic.Bool
 	active   sync.WaitGroup
 }
 
@@ -162,6 +168,7 @@
 		d.settle(ctx, now, o)
 	}
 	d.giveUpLostRoutes(ctx, now)
+	d.keepProgress(ctx, now)
 	d.act(ctx, d.machine.Step(now, d.surroundings()))
 	waiting, running := d.machine.Counts()
 	d.config.Metrics.Waiting.Set(float64(waiting))
@@ -259,7 +266,7 @@
 			key := dispatch.Key{Job: job, Index: uint32(i)}
 			if d.machine.Has(key) {
 				d.stop(key)
-				d.list(ctx, key, false, nil, "route-gone")
+				d.fail(ctx, key, "route-gone")
 			}
 		}
 	}
@@ -270,7 +277,7 @@
 		if r := d.runs[key]; r != nil {
 			r.cancel()
 		}
-		d.list(ctx, key, false, nil, "expired")
+		d.fail(ctx, key, "expired")
 	}
 	for _, key := range actions.Pause {
 		d.config.Metrics.Paused.Inc()
@@ -287,7 +294,7 @@
 func (d *Driver) start(ctx context.Context, start dispatch.Start) {
 	p := d.progress[start.Key]
 	if p == nil {
-		p = &progress{}
+		p = d.load(start.Key)
 		d.progress[start.Key] = p
 	}
 	runCtx, cancel := context.WithCancel(ctx)
@@ -311,6 +318,57 @@
 	}()
 }
 
+// load takes up the progress that an earlier leader logged.
+func (d *Driver) load(key dispatch.Key) *progress {
+	var item systemstate.Item
+	d.config.Machine.View(func(s *systemstate.State) {
+		if j := s.Job(key.Job); j != nil && int(key.Index) < len(j.Items) {
+			item = j.Items[key.Index]
+		}
+	})
+	text, err := d.config.Machine.Text(item.Parts)
+	if err != nil {
+		level.Error(d.config.Logger).Log(logs.KeyEvent, "progress-unread", logs.KeyJob, key.Job, "index", key.Index, logs.KeyError, err)
+		return &progress{}
+	}
+	return &progress{last: item.Last, text: text, kept: item.Last, keptBytes: len(text)}
+}
+
+// keepProgress logs what running items have made, so that they go on from there
+// under the next leader. One command carries it all; the next waits for it.
+func (d *Driver) keepProgress(ctx context.Context, now clock.Millis) {
+	if now-d.keptAt < keepEvery || !d.keeping.CompareAndSwap(false, true) {
+		return
+	}
+	d.keptAt = now
+	var steps []*toucanhingev1.SystemStep
+	var noted []func()
+	for key, p := range d.progress {
+		after, last, text := p.unkept()
+		if last == after {
+			continue
+		}
+		steps = append(steps, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_KeepProgress{
+			KeepProgress: &toucanhingev1.KeepProgressStep{Job: key.Job, Item: key.Index, After: after, Last: last, Text: text},
+		}})
+		noted = append(noted, func() { p.keep(last, len(text)) })
+	}
+	if len(steps) == 0 {
+		d.keeping.Store(false)
+		return
+	}
+	d.background(func() {
+		defer d.keeping.Store(false)
+		if _, err := d.config.Propose(ctx, steps...); err != nil {
+			level.Warn(d.config.Logger).Log(logs.KeyEvent, "progress-unlogged", "items", len(steps), logs.KeyError, err)
+			return
+		}
+		for _, note := range noted {
+			note()
+		}
+	})
+}
+
 // settle takes up how a call ended.
 func (d *Driver) settle(ctx context.Context, now clock.Millis, o outcome) {
 	if d.runs[o.run.key] == o.run {
@@ -322,16 +380,15 @@
 	key, id := o.run.key, o.run.target.GetId()
 	d.config.Metrics.Ended.WithLabelValues(string(o.kind)).Inc()
 	level.Info(d.config.Logger).Log(logs.KeyEvent, "item-call-ended", logs.KeyJob, key.Job, "index", key.Index,
-		"item", o.run.item, "runner", id, "outcome", o.kind, "events", o.run.progress.last, logs.KeyError, o.err)
+		"item", o.run.item, "runner", id, "outcome", o.kind, "events", o.run.progress.lastEvent(), logs.KeyError, o.err)
 	switch o.kind {
 	case finished:
-		text := o.run.progress.text
 		d.machine.Finished(now, key)
 		delete(d.progress, key)
-		d.list(ctx, key, true, text, "finished")
+		d.complete(ctx, key, o.run.progress)
 	case impossible:
 		d.stop(key)
-		d.list(ctx, key, false, nil, "impossible")
+		d.fail(ctx, key, "impossible")
 	case failed:
 		d.countFailure(ctx, now, o)
 	case refused:
@@ -363,44 +420,71 @@
 	})
 	if attempts >= limit {
 		d.stop(key)
-		d.list(ctx, key, false, nil, "attempts")
+		d.fail(ctx, key, "attempts")
 		return
 	}
-	*o.run.progress = progress{}
 	d.machine.Stopped(now, key, refusedPause)
-	d.propose(ctx, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_CountFailure{
-		CountFailure: &toucanhingev1.CountFailureStep{Job: key.Job, Item: key.Index},
-	}})
+	d.background(func() {
+		d.insist(ctx, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_CountFailure{
+			CountFailure: &toucanhingev1.CountFailureStep{Job: key.Job, Item: key.Index},
+		}})
+	})
 }
 
-// list gives an item its result.
-func (d *Driver) list(ctx context.Context, key dispatch.Key, completed bool, text []byte, reason string) {
+// complete lists an item's text. Only what isn't logged yet travels, unless the
+// log holds another progress than we believe.
+func (d *Driver) complete(ctx context.Context, key dispatch.Key, p *progress) {
+	d.config.Metrics.Listed.WithLabelValues("finished").Inc()
+	finish := func(after uint64, text []byte) *toucanhingev1.SystemStep {
+		return &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_FinishItem{FinishItem: &toucanhingev1.FinishItemStep{
+			Job: key.Job, Item: key.Index, Completed: true, Text: text, After: after,
+		}}}
+	}
+	d.background(func() {
+		after, _, rest := p.unkept()
+		if listed, ok := d.insist(ctx, finish(after, rest)).(bool); ok && !listed {
+			d.insist(ctx, finish(0, p.whole()))
+		}
+	})
+}
+
+// fail lists an item that is given up.
+func (d *Driver) fail(ctx context.Context, key dispatch.Key, reason string) {
 	d.config.Metrics.Listed.WithLabelValues(reason).Inc()
-	d.propose(ctx, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_FinishItem{
-		FinishItem: &toucanhingev1.FinishItemStep{Job: key.Job, Item: key.Index, Completed: completed, Text: text},
-	}})
+	level.Info(d.config.Logger).Log(logs.KeyEvent, "item-given-up", logs.KeyJob, key.Job, "index", key.Index, "reason", reason)
+	d.background(func() {
+		d.insist(ctx, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_FinishItem{
+			FinishItem: &toucanhingev1.FinishItemStep{Job: key.Job, Item: key.Index},
+		}})
+	})
 }
 
-// propose logs a step, again and again while this process leads: a result that
-// was made must not be made once more because the disk was slow.
-func (d *Driver) propose(ctx context.Context, step *toucanhingev1.SystemStep) {
+func (d *Driver) background(run func()) {
 	d.active.Add(1)
 	go func() {
 		defer d.active.Done()
-		for ctx.Err() == nil {
-			_, err := d.config.Propose(ctx, step)
-			if err == nil {
-				return
-			}
-			level.Warn(d.config.Logger).Log(logs.KeyEvent, "item-step-unlogged", logs.KeyError, err)
-			select {
-			case <-ctx.Done():
-			case <-time.After(stepEvery + time.Duration(rand.Int64N(int64(stepEvery)))):
-			}
-		}
+		run()
 	}()
 }
 
+// insist logs a step, again and again while this process leads, and returns its
+// outcome: a result that was made must not be made once more because the disk was
+// slow.
+func (d *Driver) insist(ctx context.Context, step *toucanhingev1.SystemStep) any {
+	for ctx.Err() == nil {
+		answers, err := d.config.Propose(ctx, step)
+		if err == nil {
+			return answers[0]
+		}
+		level.Warn(d.config.Logger).Log(logs.KeyEvent, "item-step-unlogged", logs.KeyError, err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(stepEvery + time.Duration(rand.Int64N(int64(stepEvery)))):
+		}
+	}
+	return nil
+}
+
 // request reads an item's request and the host of its job.
 func (d *Driver) request(key dispatch.Key) (item *toucanhingev1.JobItem, host string, err error) {
 	ref, found := systemstate.Item{}, false
--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,7 +28,6 @@
 
 var (
 	errGone    = errors.New("the item is gone")
-	errSilent  = errors.New("the runner sent nothing for too long")
 	errGap     = errors.New("an event of the stream is missing")
 	errStatus  = errors.New("unexpected status")
 	errUnasked = errors.New("the stream didn't go on where asked")
@@ -58,10 +59,62 @@
 	err  error
 }
 
-// progress is what an item's calls have made so far.
+// progress is what an item's calls have made so far. The call under way appends
+// to it while the driver reads it.
 type progress struct {
+	mu   sync.Mutex
 	last uint64
 	text []byte
+	// kept is the last event that is logged, and keptBytes the length of its text.
+	kept      uint64
+	keptBytes int
+}
+
+// add appends an event, and refuses one that doesn't follow the last: a text put
+// together around a gap, or from another stream, would look whole.
+func (p *progress) add(event sse.Event) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !event.Numbered || event.ID <= p.last {
+		return errUnasked
+	}
+	if p.last > 0 && event.ID != p.last+1 {
+		return errGap
+	}
+	if p.last > 0 {
+		p.text = append(p.text, '\n')
+	}
+	p.text = append(p.text, event.Data...)
+	p.last = event.ID
+	return nil
+}
+
+func (p *progress) lastEvent() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last
+}
+
+// unkept is what isn't logged yet.
+func (p *progress) unkept() (after, last uint64, text []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.kept, p.last, slices.Clone(p.text[p.keptBytes:])
+}
+
+// keep notes that all up to an event, of some bytes more, is logged.
+func (p *progress) keep(last uint64, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.kept = last
+	p.keptBytes += bytes
+}
+
+// whole is the text from the first event on.
+func (p *progress) whole() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.text)
 }
 
 // run is one call of an item.
@@ -121,7 +174,7 @@
 	}
 	return runner.Call{
 		Runner: r.target, Request: item.GetId(), Method: http.MethodPost, Target: item.GetTarget(), Host: host,
-		Header: header, Body: item.GetBody(), Resume: r.progress.last > 0, After: r.progress.last,
+		Header: header, Body: item.GetBody(), Resume: r.progress.lastEvent() > 0, After: r.progress.lastEvent(),
 	}
 }
 
@@ -141,29 +194,20 @@
 	}
 }
 
-// read appends the stream's events. One that came before is passed over, and a
-// missing one ends the call: a text put together around a gap would look whole.
+// read appends the stream's events.
 func (r *run) read(body io.Reader, watchdog *time.Timer) (outcomeKind, error) {
 	reader := sse.NewReader(body, readBuffer)
 	for {
 		event, err := reader.Next()
-		if errors.Is(err, io.EOF) && r.progress.last > 0 {
+		if errors.Is(err, io.EOF) && r.progress.lastEvent() > 0 {
 			return finished, nil
 		}
 		if err != nil {
 			return broken, err
 		}
 		watchdog.Reset(silence)
-		if !event.Numbered || event.ID <= r.progress.last {
-			return broken, errUnasked
-		}
-		if r.progress.last > 0 && event.ID != r.progress.last+1 {
-			return broken, errGap
-		}
-		if r.progress.last > 0 {
-			r.progress.text = append(r.progress.text, '\n')
+		if err := r.progress.add(event); err != nil {
+			return broken, err
 		}
-		r.progress.text = append(r.progress.text, event.Data...)
-		r.progress.last = event.ID
 	}
 }
--- a/control/pkg/core/lead.go
+++ b/control/pkg/core/lead.go
@@ -143,7 +143,7 @@
 	c.register(ctx)
 	decide := repair.Config{Self: c.config.Address, Losses: c.config.Losses, SilentAfter: silentAfter}
 	members := c.members()
-	step := decide.Next(c.config.Clock.Now(), members, c.vms(began))
+	step := decide.Next(c.config.Clock.Now(), members, c.vms(began, members))
 	if step.Kind == repair.Nothing {
 		return
 	}
@@ -188,14 +188,18 @@
 	return members
 }
 
-// vms lists the VMs that announced themselves, and those of the log that haven't
-// had the time to since this leader began.
-func (c *Core) vms(began clock.Millis) []repair.VM {
+// vms lists the VMs that announced themselves, and the members that haven't had
+// the time to since this leader began.
+func (c *Core) vms(began clock.Millis, members []repair.Member) []repair.VM {
 	byAddress := c.fleet.announced()
 	retiring := map[string]bool{}
+	member := map[string]bool{}
+	for _, m := range members {
+		member[m.Name] = true
+	}
 	c.machine.View(func(s *systemstate.State) {
 		for _, v := range s.VMs() {
-			if _, heard := byAddress[v.Address]; !heard {
+			if _, heard := byAddress[v.Address]; !heard && member[v.Address] {
 				byAddress[v.Address] = announced{name: v.Name, identity: v.Identity, heard: began}
 			}
 			if byAddress[v.Address].identity == v.Identity {
--- a/control/pkg/core/operator.go
+++ b/control/pkg/core/operator.go
@@ -66,7 +66,7 @@
 	}
 	now := c.config.Clock.Now()
 	decide := repair.Config{Self: c.config.Address, Losses: c.config.Losses, SilentAfter: silentAfter}
-	if !decide.MayRetire(now, vm.Address, c.vms(now)) {
+	if !decide.MayRetire(now, vm.Address, c.vms(now, c.members())) {
 		return ErrTooFew
 	}
 	if _, err := proposeOne[bool](ctx, c, &toucanhingev1.SystemStep{
--- a/control/pkg/core/service.go
+++ b/control/pkg/core/service.go
@@ -133,7 +133,7 @@
 // record is a listed result without its text.
 type record struct {
 	result *toucanhingev1.ItemResult
-	text   segment.Ref
+	parts  []segment.Ref
 }
 
 func (c *Core) listed(r *toucanhingev1.ReadListedRequest) (*toucanhingev1.ReadListedResponse, error) {
@@ -148,19 +148,17 @@
 		for _, index := range j.Listed[min(int(r.GetAfter()), len(j.Listed)):] {
 			item := j.Items[index]
 			records = append(records, record{
-				result: &toucanhingev1.ItemResult{Item: item.ID, Completed: item.Completed}, text: item.Text,
+				result: &toucanhingev1.ItemResult{Item: item.ID, Completed: item.Completed}, parts: item.Parts,
 			})
 		}
 	})
 	bytes := 0
 	for _, rec := range records {
-		if rec.text != 0 {
-			text, err := c.machine.Record(rec.text)
-			if err != nil {
-				return nil, err
-			}
-			rec.result.Text = text
+		text, err := c.machine.Text(rec.parts)
+		if err != nil {
+			return nil, err
 		}
+		rec.result.Text = text
 		bytes += len(rec.result.GetText())
 		if bytes > int(r.GetMostBytes()) && len(answer.GetResults()) > 0 {
 			break
--- a/control/pkg/systemstate/machine.go
+++ b/control/pkg/systemstate/machine.go
@@ -251,6 +251,19 @@
 	return records.Read(ref)
 }
 
+// Text puts an item's text together from its parts.
+func (m *Machine) Text(parts []segment.Ref) ([]byte, error) {
+	var text []byte
+	for _, ref := range parts {
+		part, err := m.Record(ref)
+		if err != nil {
+			return nil, err
+		}
+		text = append(text, part...)
+	}
+	return text, nil
+}
+
 // Item returns an item's request.
 func (m *Machine) Item(ref segment.Ref) (*toucanhingev1.JobItem, error) {
 	data, err := m.Record(ref)
--- a/control/pkg/systemstate/snapshot.go
+++ b/control/pkg/systemstate/snapshot.go
@@ -48,10 +48,14 @@
 	}
 	for i := range j.Items {
 		item := &j.Items[i]
-		saved.Items = append(saved.Items, &toucanhingev1.SavedBatchItem{
+		out := &toucanhingev1.SavedBatchItem{
 			Id: item.ID, Tokens: item.Tokens, Failures: item.Failures, Completed: item.Completed,
-			Request: uint64(item.Request), Text: uint64(item.Text),
-		})
+			Request: uint64(item.Request), Last: item.Last,
+		}
+		for _, ref := range item.Parts {
+			out.Parts = append(out.Parts, uint64(ref))
+		}
+		saved.Items = append(saved.Items, out)
 	}
 	return saved
 }
@@ -82,10 +86,14 @@
 		Accepted: clock.Millis(saved.GetAcceptedMs()), Ended: saved.GetEnded(), Listed: saved.GetListed(),
 	}
 	for _, item := range saved.GetItems() {
-		j.Items = append(j.Items, Item{
+		in := Item{
 			ID: item.GetId(), Tokens: item.GetTokens(), Failures: item.GetFailures(), Completed: item.GetCompleted(),
-			Request: segment.Ref(item.GetRequest()), Text: segment.Ref(item.GetText()),
-		})
+			Request: segment.Ref(item.GetRequest()), Last: item.GetLast(),
+		}
+		for _, ref := range item.GetParts() {
+			in.Parts = append(in.Parts, segment.Ref(ref))
+		}
+		j.Items = append(j.Items, in)
 	}
 	for _, index := range j.Listed {
 		j.Items[index].Done = true
--- a/control/pkg/systemstate/state.go
+++ b/control/pkg/systemstate/state.go
@@ -71,9 +71,12 @@
 	Failures  uint32
 	Done      bool
 	Completed bool
-	// Request and Text are the records of the JobItem and of the result.
+	// Request is the record of the JobItem.
 	Request segment.Ref
-	Text    segment.Ref
+	// Parts are the records that make up the text so far, in order, and Last is
+	// the last event in them.
+	Parts []segment.Ref
+	Last  uint64
 }
 
 // Open says whether items may still be run.
@@ -190,13 +193,15 @@
 	case *toucanhingev1.SystemStep_AcceptJob:
 		return s.acceptJob(at, x.AcceptJob.GetJob())
 	case *toucanhingev1.SystemStep_FinishItem:
-		s.finishItem(x.FinishItem)
+		return s.finishItem(x.FinishItem)
 	case *toucanhingev1.SystemStep_CountFailure:
 		s.countFailure(x.CountFailure)
 	case *toucanhingev1.SystemStep_EndJob:
 		return s.endJob(x.EndJob.GetJob())
 	case *toucanhingev1.SystemStep_RegisterVm:
 		s.registerVM(x.RegisterVm)
+	case *toucanhingev1.SystemStep_KeepProgress:
+		s.keepProgress(x.KeepProgress)
 	case *toucanhingev1.SystemStep_RetireVm:
 		return s.retireVM(x.RetireVm.GetName())
 	}
@@ -258,20 +263,55 @@
 	return sum
 }
 
+// item returns an item that has no result yet.
+func (s *State) openItem(job string, index uint32) (*Job, *Item) {
+	j := s.jobs[job]
+	if j == nil || int(index) >= len(j.Items) || j.Items[index].Done {
+		return nil, nil
+	}
+	return j, &j.Items[index]
+}
+
 // finishItem lists an item's result. The first one stands: a run that was
-// repeated after a change of leader may finish twice.
-func (s *State) finishItem(step *toucanhingev1.FinishItemStep) {
-	j := s.jobs[step.GetJob()]
-	if j == nil || int(step.GetItem()) >= len(j.Items) || j.Items[step.GetItem()].Done {
-		return
+// repeated after a change of leader may finish twice. The outcome is false if the
+// text goes on from a progress that isn't the one kept here: joined, the two
+// would be a text that no runner made.
+func (s *State) finishItem(step *toucanhingev1.FinishItemStep) bool {
+	j, item := s.openItem(step.GetJob(), step.GetItem())
+	if item == nil {
+		return true
+	}
+	switch {
+	case !step.GetCompleted() || step.GetAfter() == 0:
+		s.dropParts(item)
+	case step.GetAfter() != item.Last:
+		return false
 	}
-	item := &j.Items[step.GetItem()]
 	item.Done, item.Completed = true, step.GetCompleted()
 	if len(step.GetText()) > 0 {
-		item.Text = s.config.Append(step.GetText())
+		item.Parts = append(item.Parts, s.config.Append(step.GetText()))
 	}
 	j.Listed = append(j.Listed, step.GetItem())
 	s.notify(Change{Kind: ItemListed, Job: j.ID, Item: step.GetItem()})
+	return true
+}
+
+// keepProgress keeps what an item's run has made so far, if it follows what is
+// kept already.
+func (s *State) keepProgress(step *toucanhingev1.KeepProgressStep) {
+	_, item := s.openItem(step.GetJob(), step.GetItem())
+	if item == nil || item.Last != step.GetAfter() || step.GetLast() <= step.GetAfter() {
+		return
+	}
+	item.Parts = append(item.Parts, s.config.Append(step.GetText()))
+	item.Last = step.GetLast()
+}
+
+func (s *State) dropParts(item *Item) {
+	for _, ref := range item.Parts {
+		s.release(ref)
+	}
+	item.Parts, item.Last = nil, 0
 }
 
 func (s *State) countFailure(step *toucanhingev1.CountFailureStep) {
@@ -322,7 +362,7 @@
 		}
 		for i := range j.Items {
 			s.release(j.Items[i].Request)
-			s.release(j.Items[i].Text)
+			s.dropParts(&j.Items[i])
 		}
 		delete(s.jobs, id)
 	}
--- a/control/pkg/systemstate/state_test.go
+++ b/control/pkg/systemstate/state_test.go
@@ -53,6 +53,45 @@
 	}}
 }
 
+func progressStep(job string, item uint32, after, last uint64, text string) *toucanhingev1.SystemStep {
+	return &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_KeepProgress{
+		KeepProgress: &toucanhingev1.KeepProgressStep{Job: job, Item: item, After: after, Last: last, Text: []byte(text)},
+	}}
+}
+
+func finishAfterStep(job string, item uint32, after uint64, text string) *toucanhingev1.SystemStep {
+	step := finishStep(job, item, text)
+	step.GetFinishItem().After = after
+	return step
+}
+
+// A leader logs what an item has made so far and is deposed; its successor goes
+// on from there. The old leader's late steps, and a result that goes on from
+// another progress than the logged one, must not be joined with it: the text
+// would have a gap, or a piece twice.
+func TestProgressIsJoinedOnlyWhereItFits(t *testing.T) {
+	m := machine(t, t.TempDir())
+	apply(t, m, 1, tableStep(1, 0), jobStep("a", 3, 1))
+	apply(t, m, 2, progressStep("a", 0, 0, 2, "1\n2"), progressStep("a", 0, 2, 3, "\n3"))
+	apply(t, m, 2, progressStep("a", 0, 2, 4, "\n3\n4"), progressStep("a", 0, 0, 9, "all"), progressStep("a", 0, 3, 3, ""))
+	require.Equal(t, "1\n2\n3", textOf(t, m, "a", 0))
+	require.Equal(t, []any{false}, apply(t, m, 3, finishAfterStep("a", 0, 2, "\n3\n4")))
+	require.Equal(t, []any{true}, apply(t, m, 3, finishAfterStep("a", 0, 3, "\n4")))
+	require.Equal(t, "1\n2\n3\n4", textOf(t, m, "a", 0))
+	require.Equal(t, []any{true}, apply(t, m, 4, finishAfterStep("a", 0, 0, "whole")), "the first result stands")
+	require.Equal(t, "1\n2\n3\n4", textOf(t, m, "a", 0))
+
+	apply(t, m, 5, progressStep("a", 1, 0, 2, "1\n2"))
+	require.Equal(t, []any{true}, apply(t, m, 5, finishAfterStep("a", 1, 0, "whole")), "a whole text needs no progress")
+	require.Equal(t, "whole", textOf(t, m, "a", 1))
+
+	apply(t, m, 6, progressStep("a", 2, 0, 2, "1\n2"))
+	failed := finishStep("a", 2, "")
+	failed.GetFinishItem().Completed = false
+	apply(t, m, 6, failed)
+	require.Empty(t, textOf(t, m, "a", 2), "an item that is given up has no text")
+}
+
 func endStep(job string) *toucanhingev1.SystemStep {
 	return &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_EndJob{EndJob: &toucanhingev1.EndJobStep{Job: job}}}
 }
@@ -111,7 +150,7 @@
 func textOf(t require.TestingT, m *Machine, job string, item int) string {
 	var i Item
 	m.View(func(s *State) { i = s.Job(job).Items[item] })
-	text, err := m.Record(i.Text)
+	text, err := m.Text(i.Parts)
 	require.NoError(t, err)
 	return string(text)
 }
