--- a/control/pkg/core/core.go
+++ b/control/pkg/core/core.go
@@ -32,9 +32,12 @@
 const (
 	// checkpointBytes bounds what the log keeps in memory and a restart replays.
 	// A VM of the core has some 150 MB for everything.
-	checkpointBytes = 2 << 20
-	keepBytes       = 512 << 10
+	checkpointBytes = 1 << 20
+	keepBytes       = 256 << 10
 	logFileBytes    = 4 << 20
+	// ringSize is enough for some hundred steps on their way; with 4,096 places
+	// the rings of a VM with two peers held 2.5 MB.
+	ringSize = 512
 	// heartbeat and election decide how soon a lost leader is replaced: callers'
 	// jobs and the operator wait for it. VMs of the core are a millisecond apart,
 	// and even one that runs eight times slower answers within 50 ms, so three
@@ -110,7 +113,7 @@
 		Group: Group, Name: config.Address, Identity: identity, Address: config.Address, Folder: folder,
 		Bootstrap: founders, Clock: config.Clock, Logger: config.Logger, Registerer: config.Registerer,
 		HeartbeatEvery: heartbeat, ElectionTimeout: election,
-		CheckpointBytes: checkpointBytes, KeepBytes: keepBytes, LogFileBytes: logFileBytes,
+		CheckpointBytes: checkpointBytes, KeepBytes: keepBytes, LogFileBytes: logFileBytes, RingSize: ringSize,
 	}, replica.Machine{
 		Apply: c.machine.Apply, Checkpoint: c.machine.Checkpoint, Load: c.machine.Load,
 		Export: c.machine.Export, Import: c.machine.Import,
--- a/control/pkg/replica/config.go
+++ b/control/pkg/replica/config.go
@@ -79,6 +79,9 @@
 	// a checkpoint for members that lag.
 	KeepEntries uint64
 	KeepBytes   int
+	// RingSize bounds the messages that wait to be taken in, and to be sent to one
+	// peer. A ring holds its memory all the time, about 200 bytes a place.
+	RingSize int
 	// LogFileBytes is the size after which the log begins a new file.
 	LogFileBytes int64
 
@@ -97,6 +100,7 @@
 	defaultCheckpointBytes   = 64 << 20
 	defaultKeepEntries       = 5_000
 	defaultKeepBytes         = 8 << 20
+	defaultRingSize          = 4096
 	// maximumBacklog bounds the committed entries that wait to be applied.
 	maximumBacklog = 20_000
 )
@@ -120,6 +124,9 @@
 	if c.KeepBytes == 0 {
 		c.KeepBytes = defaultKeepBytes
 	}
+	if c.RingSize == 0 {
+		c.RingSize = defaultRingSize
+	}
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
--- a/control/pkg/replica/group.go
+++ b/control/pkg/replica/group.go
@@ -16,7 +16,6 @@
 )
 
 const (
-	inboxRing    = 4096
 	proposalRing = 4096
 	readRing     = 4096
 	orderRing    = 64
@@ -79,7 +78,7 @@
 		failed:     make(chan struct{}),
 	}
 	g.inbox = ring.New[inboxItem](ring.Config{
-		Size: inboxRing, Refused: g.metrics.dropped.WithLabelValues(dropInboxFull),
+		Size: config.RingSize, Refused: g.metrics.dropped.WithLabelValues(dropInboxFull),
 	})
 	g.waiting.byIndex = map[uint64]*call{}
 	if err := g.restore(); err != nil {
--- a/control/pkg/replica/sender.go
+++ b/control/pkg/replica/sender.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	senderRing = 4096
 	// stepBytes bounds the entries of one call, so that a heartbeat behind it
 	// isn't late.
 	stepBytes = 4 << 20
@@ -43,7 +42,7 @@
 		group: g, name: name, address: address, http: client,
 		client: newClient(client, address),
 		ring: ring.New[consensus.Message](ring.Config{
-			Size: senderRing, Refused: g.metrics.dropped.WithLabelValues(dropSenderFull),
+			Size: g.config.RingSize, Refused: g.metrics.dropped.WithLabelValues(dropSenderFull),
 		}),
 	}
 	g.done.Add(1)
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -235,11 +235,9 @@
 		return e.notRun(r, answer)
 	}
 	e.ran++
-	if answer.Status >= http.StatusInternalServerError && e.mayRepeat() && !e.begun {
-		return e.retry(r, "runner-error", fmt.Errorf("%w: %d", errStatus, answer.Status))
-	}
-	if e.begun && answer.Status != http.StatusOK {
-		return e.retry(r, "runner-error", fmt.Errorf("%w: %d", errStatus, answer.Status))
+	// What has begun can only go on with events, and a failure may be repeated.
+	if e.begun && answer.Status != http.StatusOK || answer.Status >= http.StatusInternalServerError && e.mayRepeat() {
+		return e.broken(parent, r, fmt.Errorf("%w: %d", errStatus, answer.Status))
 	}
 	if e.route.Streams() && answer.Status == http.StatusOK {
 		err = silence.explain(parent, e.stream(answer, silence))
@@ -305,11 +303,6 @@
 	return e.again(r, "broke-off", err)
 }
 
-func (e *exchange) retry(r *toucanhingev1.Runner, reason string, err error) (again bool) {
-	e.server.learn(func(m *place.Machine) { m.Doubt(r.GetId(), e.now()+brokenPause) })
-	return e.again(r, reason, err)
-}
-
 func (e *exchange) again(r *toucanhingev1.Runner, reason string, err error) bool {
 	e.err = err
 	e.server.metrics.retried.WithLabelValues(reason).Inc()
--- /dev/null
+++ b/gateway/pkg/forward/server_test.go
@@ -0,0 +1,391 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/digest"
+	"toucanhinge.example/common/pkg/occupancy"
+	"toucanhinge.example/common/pkg/routing"
+	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/gateway/pkg/place"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+// reply is what a scripted runner does with one call.
+type reply struct {
+	err    error
+	status int
+	notRun bool
+	other  bool
+	// text is the body; fails ends it with an error, hangs leaves it open.
+	text  string
+	fails bool
+	hangs bool
+	// silent never answers.
+	silent bool
+}
+
+// fixture is a server before scripted runners.
+type fixture struct {
+	t       *testing.T
+	server  *Server
+	client  *http.Client
+	url     string
+	mu      sync.Mutex
+	replies []reply
+	calls   []runner.Call
+}
+
+var errWire = errors.New("connection reset")
+
+func start(t *testing.T, replies ...reply) *fixture {
+	t.Helper()
+	f := &fixture{t: t, replies: replies}
+	x, err := digest.Listen(digest.Config{
+		Address: "127.0.0.1:0", Source: "g", Clock: clock.System(), Logger: log.NewNopLogger(), Version: func() uint64 { return 0 },
+	})
+	require.NoError(t, err)
+	f.server = New(Config{
+		Client: runner.Client{Open: f.open}, Exchange: x, DataCentre: "here", Clock: clock.System(),
+		Logger: log.NewNopLogger(), Registerer: prometheus.NewRegistry(),
+	})
+	route := func(prefix string, kind toucanhingev1.RouteKind, resumable bool, attempts uint32) *toucanhingev1.Route {
+		return &toucanhingev1.Route{
+			Name: prefix, Host: "desk", Prefix: prefix, Kind: kind, Resumable: resumable, MaxAttempts: attempts,
+			TimeLimitMs: 1_000, ObjectiveMs: 300, GapObjectiveMs: 200, Shares: []*toucanhingev1.RouteShare{{Service: "llm", Weight: 1}},
+		}
+	}
+	table, err := routing.New(&toucanhingev1.RoutingTable{
+		Version: 1, Services: []*toucanhingev1.RoutedService{{Name: "llm"}},
+		Routes: []*toucanhingev1.Route{
+			route("/idempotent/", toucanhingev1.RouteKind_ROUTE_KIND_IDEMPOTENT, false, 2),
+			route("/once/", toucanhingev1.RouteKind_ROUTE_KIND_NON_IDEMPOTENT, false, 2),
+			route("/stream/", toucanhingev1.RouteKind_ROUTE_KIND_STREAM, false, 2),
+			route("/resumable/", toucanhingev1.RouteKind_ROUTE_KIND_STREAM, true, 2),
+		},
+	})
+	require.NoError(t, err)
+	f.server.SetTable(table)
+	f.setRunners("a", "b", "c")
+	web := httptest.NewServer(http.HandlerFunc(f.handle))
+	t.Cleanup(web.Close)
+	f.url, f.client = web.URL, web.Client()
+	return f
+}
+
+func (f *fixture) setRunners(ids ...string) {
+	var runners []*toucanhingev1.Runner
+	for _, id := range ids {
+		runners = append(runners, &toucanhingev1.Runner{Id: id, Service: "llm", DataCentre: "here", Slots: 2})
+	}
+	f.server.SetRunners(runners, 1)
+}
+
+func (f *fixture) handle(w http.ResponseWriter, r *http.Request) {
+	route, refusal := f.server.Route("desk", r.RequestURI)
+	if refusal != nil {
+		f.server.Refuse(w, *refusal)
+		return
+	}
+	patience := clock.Millis(0)
+	if _, err := fmt.Sscan(r.Header.Get("Patience"), &patience); err != nil {
+		patience = 0
+	}
+	f.server.Serve(r.Context(), w, route, Request{
+		ID: "q", Method: r.Method, Target: r.RequestURI, Host: "desk", Arrived: f.server.config.Clock.Now(), Patience: patience,
+	})
+}
+
+// sent lists the calls so far.
+func (f *fixture) sent() []runner.Call {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.calls)
+}
+
+func (f *fixture) open(ctx context.Context, call runner.Call) (*runner.Answer, error) {
+	f.mu.Lock()
+	f.calls = append(f.calls, call)
+	r := reply{err: &runner.NotSentError{Runner: call.Runner.GetId(), Err: errWire}}
+	if len(f.replies) > 0 {
+		r, f.replies = f.replies[0], f.replies[1:]
+	}
+	f.mu.Unlock()
+	if r.silent {
+		<-ctx.Done()
+		return nil, &runner.BrokenError{Runner: call.Runner.GetId(), Err: ctx.Err()}
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	if r.status == 0 {
+		r.status = http.StatusOK
+	}
+	return &runner.Answer{
+		Status: r.status, Header: http.Header{"Seal": {call.Runner.GetId()}}, Length: -1, NotRun: r.notRun, Other: r.other,
+		Body: &scriptedBody{ctx: ctx, source: strings.NewReader(r.text), reply: r},
+	}, nil
+}
+
+type scriptedBody struct {
+	ctx    context.Context
+	source io.Reader
+	reply  reply
+}
+
+func (b *scriptedBody) Read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	switch {
+	case b.reply.fails:
+		return n, io.ErrUnexpectedEOF
+	case b.reply.hangs:
+		<-b.ctx.Done()
+		return n, b.ctx.Err()
+	default:
+		return n, err
+	}
+}
+
+func (b *scriptedBody) Close() error { return nil }
+
+func (f *fixture) get(path string, patience int) (status int, text string, err error, header http.Header) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, f.url+path, nil)
+	require.NoError(f.t, err)
+	if patience > 0 {
+		request.Header.Set("Patience", fmt.Sprint(patience))
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return 0, "", err, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err, response.Header
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+var (
+	unsent  = reply{err: &runner.NotSentError{Runner: "x", Err: errWire}}
+	broken  = reply{err: &runner.BrokenError{Runner: "x", Err: errWire}}
+	full    = reply{status: http.StatusServiceUnavailable, notRun: true}
+	other   = reply{status: http.StatusMisdirectedRequest, notRun: true, other: true}
+	failing = reply{status: http.StatusInternalServerError, text: "no"}
+)
+
+// TestFaults says, for each kind of route and each fault of a runner, what the
+// caller sees and how many runners were asked. A request that may run once is
+// never sent on after it was sent, and what a caller gets as whole is whole.
+func TestFaults(t *testing.T) {
+	ok := reply{text: "answer"}
+	for _, c := range []struct {
+		name    string
+		path    string
+		replies []reply
+		status  int
+		text    string
+		calls   int
+		// cut: the answer must not look whole.
+		cut bool
+	}{
+		{"all is well", "/once/", []reply{ok}, 200, "answer", 1, false},
+		{"no route", "/none/", nil, 404, "", 0, false},
+		{"unreachable, once", "/once/", []reply{unsent, ok}, 200, "answer", 2, false},
+		{"full, once", "/once/", []reply{full, ok}, 200, "answer", 2, false},
+		{"another instance, once", "/once/", []reply{other, ok}, 200, "answer", 2, false},
+		{"broken off, once", "/once/", []reply{broken, ok}, 502, "", 1, false},
+		{"failing, once", "/once/", []reply{failing, ok}, 500, "no", 1, false},
+		{"cut in the body, once", "/once/", []reply{{text: "ans", fails: true}, ok}, 502, "", 1, false},
+		{"all unreachable", "/once/", nil, 503, "", 3, false},
+		{"all full", "/once/", []reply{full, full, full, full, full, full}, 503, "", 3, false},
+		{"broken off, idempotent", "/idempotent/", []reply{broken, ok}, 200, "answer", 2, false},
+		{"failing, idempotent", "/idempotent/", []reply{failing, ok}, 200, "answer", 2, false},
+		{"failing twice, idempotent", "/idempotent/", []reply{failing, failing, ok}, 500, "no", 2, false},
+		{"broken off twice, idempotent", "/idempotent/", []reply{broken, broken, ok}, 502, "", 2, false},
+		{"cut in the body, idempotent", "/idempotent/", []reply{{text: "ans", fails: true}, ok}, 200, "answer", 2, false},
+		{"a stream", "/stream/", []reply{{text: events(1, 3)}}, 200, events(1, 3), 1, false},
+		{"a stream, empty", "/stream/", []reply{{}}, 200, "", 1, false},
+		{"a stream broken off before its first event", "/stream/", []reply{{fails: true}, ok}, 502, "", 1, false},
+		{"a stream cut", "/stream/", []reply{{text: events(1, 2) + "id: 3\nda", fails: true}, ok}, 200, events(1, 2), 1, true},
+		{"a stream that ends within an event", "/stream/", []reply{{text: events(1, 2) + "id: 3\nda"}, ok}, 200, events(1, 2), 1, true},
+		{"a stream with a gap", "/stream/", []reply{{text: events(1, 2) + events(4, 5)}}, 200, events(1, 2), 1, true},
+		{"a stream with an event twice", "/stream/", []reply{{text: events(1, 2) + events(2, 3)}}, 200, events(1, 2), 1, true},
+		{"a resumable stream cut", "/resumable/", []reply{{text: events(1, 2) + "id: 3\nda", fails: true}, {text: events(3, 4)}}, 200, events(1, 4), 2, false},
+		{"a resumable stream cut, then full runners", "/resumable/", []reply{{text: events(1, 2), fails: true}, full, {text: events(3, 4)}}, 200, events(1, 4), 3, false},
+		{"a resumable stream cut, then begun anew", "/resumable/", []reply{{text: events(1, 2), fails: true}, {text: events(1, 4)}}, 200, events(1, 2), 2, true},
+		{"a resumable stream cut twice", "/resumable/", []reply{{text: events(1, 2), fails: true}, {text: events(3, 3), fails: true}, ok}, 200, events(1, 3), 2, true},
+		{"a resumable stream cut, then an error", "/resumable/", []reply{{text: events(1, 2), fails: true}, failing, ok}, 200, events(1, 2), 2, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t, c.replies...)
+			status, text, err, header := f.get(c.path, 0)
+			require.Equal(t, c.status, status)
+			require.Equal(t, c.cut, err != nil, "%v", err)
+			if c.text != "" {
+				require.Equal(t, c.text, text)
+				require.NotEmpty(t, header.Get("Seal"))
+			}
+			if status == http.StatusServiceUnavailable {
+				require.NotEmpty(t, header.Get("Retry-After"), "told when to come back")
+			}
+			require.Len(t, f.sent(), c.calls)
+		})
+	}
+}
+
+// A runner stands still in the middle of a stream, and its connection stays open.
+// A resumable stream goes on elsewhere before the pause is too long for its
+// caller; one that isn't is waited for.
+func TestASilentRunner(t *testing.T) {
+	f := start(t, reply{text: events(1, 2), hangs: true}, reply{text: events(3, 4)})
+	began := time.Now()
+	status, text, err, _ := f.get("/resumable/", 0)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, events(1, 4), text)
+	require.Less(t, time.Since(began), 500*time.Millisecond)
+	require.Equal(t, uint64(2), f.sent()[1].After)
+	require.True(t, f.sent()[1].Resume)
+
+	f = start(t, reply{text: events(1, 2), hangs: true}, reply{text: events(3, 4)})
+	_, text, err, _ = f.get("/stream/", 0)
+	require.Error(t, err, "cut at the route's time limit")
+	require.Equal(t, events(1, 2), text)
+	require.Len(t, f.sent(), 1)
+}
+
+// In a burst a runner is silent because it is busy, and no place is free anywhere
+// else. Breaking the call off would only lose its turn there.
+func TestABusyRunnerIsWaitedFor(t *testing.T) {
+	f := start(t, reply{silent: true})
+	f.server.config.Exchange.Add("b", occupancy.Load{Online: 2})
+	f.server.config.Exchange.Add("c", occupancy.Load{Online: 2})
+	status, _, err, _ := f.get("/resumable/", 0)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	require.Len(t, f.sent(), 1)
+}
+
+func TestTheTimeLimit(t *testing.T) {
+	f := start(t, reply{silent: true})
+	began := time.Now()
+	status, _, err, _ := f.get("/once/", 300)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, status, "it may have run")
+	require.InDelta(t, 300, float64(time.Since(began).Milliseconds()), 150)
+	require.LessOrEqual(t, f.sent()[0].Left, clock.Millis(300))
+	require.Greater(t, f.sent()[0].Left, clock.Millis(200))
+}
+
+// A caller leaves in the middle of a stream: the call to the runner must end, so
+// that it stops working for nobody.
+func TestACallerLeaves(t *testing.T) {
+	f := start(t, reply{text: events(1, 1), hangs: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url+"/stream/", nil)
+	require.NoError(t, err)
+	response, err := f.client.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	_, err = bufio.NewReader(response.Body).ReadString('\n')
+	require.NoError(t, err)
+	cancel()
+	require.Eventually(t, func() bool {
+		own := 0
+		f.server.config.Exchange.View(func(table *occupancy.Table) {
+			own = table.Own("a").Online + table.Own("b").Online + table.Own("c").Online
+		})
+		return own == 0
+	}, time.Second, 5*time.Millisecond)
+}
+
+// All places are taken. A new request is refused at once and told when to come
+// back; when it comes back it isn't refused again, but waits for a place that
+// becomes free.
+func TestARequestThatCameBackWaitsForAPlace(t *testing.T) {
+	f := start(t, reply{text: "answer"})
+	for _, id := range []string{"a", "b", "c"} {
+		f.server.config.Exchange.Add(id, occupancy.Load{Online: 2})
+	}
+	began := time.Now()
+	status, _, _, header := f.get("/once/", 1_000)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Less(t, time.Since(began), 100*time.Millisecond)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.Empty(t, f.sent())
+
+	time.AfterFunc(120*time.Millisecond, func() {
+		f.server.config.Exchange.Add("b", occupancy.Load{Online: -1})
+		f.server.LoadChanged()
+	})
+	f.server.learn(func(m *place.Machine) {
+		for range 200 {
+			m.Held("llm", 60)
+		}
+	})
+	status, text, err, _ := f.get("/once/", 700)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "answer", text)
+}
+
+func TestAGatewayThatKnowsNothingSaysSo(t *testing.T) {
+	s := New(Config{Clock: clock.System(), Logger: log.NewNopLogger(), Registerer: prometheus.NewRegistry()})
+	_, refusal := s.Route("desk", "/once/")
+	require.Equal(t, http.StatusServiceUnavailable, refusal.Status, "a 404 would say that the route doesn't exist")
+	require.False(t, s.Ready())
+	table, err := routing.New(&toucanhingev1.RoutingTable{Version: 5})
+	require.NoError(t, err)
+	s.SetTable(table)
+	require.False(t, s.Ready(), "it knows no runner yet, and would refuse what others can serve")
+	s.SetRunners(nil, 1)
+	require.True(t, s.Ready())
+}
+
+// A gateway gets an older routing table from a core VM that lags. It must not go
+// back: a route that was removed would be served again.
+func TestAnOlderTableIsNotTaken(t *testing.T) {
+	s := New(Config{Clock: clock.System(), Logger: log.NewNopLogger(), Registerer: prometheus.NewRegistry()})
+	for _, c := range []struct{ version, want uint64 }{{5, 5}, {3, 5}, {5, 5}, {9, 9}} {
+		table, err := routing.New(&toucanhingev1.RoutingTable{Version: c.version})
+		require.NoError(t, err)
+		s.SetTable(table)
+		require.Equal(t, c.want, s.Version())
+	}
+}
+
+func TestALeavingGatewayEndsItsConnections(t *testing.T) {
+	f := start(t, reply{text: "answer"}, reply{text: "answer"})
+	f.server.Leave()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, f.url+"/once/", nil)
+	require.NoError(t, err)
+	response, err := f.client.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.True(t, response.Close)
+}
--- /dev/null
+++ b/gateway/pkg/place/place_test.go
@@ -0,0 +1,124 @@
+package place
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/seed"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+func TestMain(m *testing.M) { seed.Main(m, 32) }
+
+func runnerAt(id, dataCentre string) *toucanhingev1.Runner {
+	return &toucanhingev1.Runner{Id: id, Service: "llm", DataCentre: dataCentre, Slots: 4}
+}
+
+func machineOf(runners ...*toucanhingev1.Runner) *Machine {
+	m := New(Config{DataCentre: "here"})
+	m.SetRunners(runners)
+	return m
+}
+
+func from(loads map[string]Load) func(string) Load {
+	return func(id string) Load { return loads[id] }
+}
+
+func TestChoose(t *testing.T) {
+	a, b, far := runnerAt("a", "here"), runnerAt("b", "here"), runnerAt("far", "there")
+	leaving := runnerAt("leaving", "here")
+	leaving.Leaving = true
+	other := runnerAt("other", "here")
+	other.Service = "other"
+	for _, c := range []struct {
+		name    string
+		runners []*toucanhingev1.Runner
+		loads   map[string]Load
+		prepare func(*Machine)
+		ask     Ask
+		want    string
+		wait    clock.Millis
+	}{
+		{"the emptier one", []*toucanhingev1.Runner{a, b}, map[string]Load{"a": {Online: 2}}, nil, Ask{}, "b", 0},
+		{"a near one before an emptier far one", []*toucanhingev1.Runner{a, far}, map[string]Load{"a": {Online: 3}}, nil, Ask{}, "a", 0},
+		{"a free far one before a full near one", []*toucanhingev1.Runner{a, far}, map[string]Load{"a": {Online: 4}}, nil, Ask{}, "far", 0},
+		{"a free place before an item's", []*toucanhingev1.Runner{a, far}, map[string]Load{"a": {Online: 1, Batch: 3}}, nil, Ask{}, "far", 0},
+		{"an item's place before a wait", []*toucanhingev1.Runner{a, b}, map[string]Load{"a": {Online: 4}, "b": {Online: 3, Batch: 1}}, nil, Ask{}, "b", 0},
+		{"the shortest wait", []*toucanhingev1.Runner{a, b}, map[string]Load{"a": {Online: 6}, "b": {Online: 4}}, nil, Ask{}, "b", 175},
+		{"items don't add to a wait", []*toucanhingev1.Runner{a}, map[string]Load{"a": {Online: 4, Batch: 2}}, nil, Ask{}, "a", 175},
+		{"not one that leaves", []*toucanhingev1.Runner{leaving, far}, nil, nil, Ask{}, "far", 0},
+		{"not one of another service", []*toucanhingev1.Runner{other, far}, nil, nil, Ask{}, "far", 0},
+		{"not one that was tried", []*toucanhingev1.Runner{a, far}, nil, nil, Ask{Tried: []string{"a"}}, "far", 0},
+		{"one that was tried if there is no other", []*toucanhingev1.Runner{a, leaving}, nil, nil, Ask{Tried: []string{"a"}}, "a", 0},
+		{"not a blocked one", []*toucanhingev1.Runner{a, far}, nil, func(m *Machine) { m.Block("a", 11) }, Ask{}, "far", 0},
+		{"one that is blocked no longer", []*toucanhingev1.Runner{a, far}, nil, func(m *Machine) { m.Block("a", 10) }, Ask{}, "a", 0},
+		{"a doubted one last", []*toucanhingev1.Runner{a, far}, map[string]Load{"far": {Online: 3}}, func(m *Machine) { m.Doubt("a", 11) }, Ask{}, "far", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := machineOf(c.runners...)
+			if c.prepare != nil {
+				c.prepare(m)
+			}
+			c.ask.Service = "llm"
+			choice, found := m.Choose(10, c.ask, from(c.loads))
+			require.True(t, found)
+			require.Equal(t, c.want, choice.Runner.GetId())
+			require.Equal(t, c.wait, choice.Wait)
+		})
+	}
+	_, found := machineOf(leaving, other).Choose(0, Ask{Service: "llm"}, from(nil))
+	require.False(t, found)
+}
+
+func TestEqualRunnersShareTheRequests(t *testing.T) {
+	m := machineOf(runnerAt("a", "here"), runnerAt("b", "here"), runnerAt("c", "here"), runnerAt("d", "here"))
+	counts := map[string]int{}
+	for i := range 100 {
+		choice, _ := m.Choose(0, Ask{Service: "llm", Tie: float64(i) / 100}, from(nil))
+		counts[choice.Runner.GetId()]++
+	}
+	require.Equal(t, map[string]int{"a": 25, "b": 25, "c": 25, "d": 25}, counts)
+}
+
+func TestTheWaitFollowsMeasuredHolds(t *testing.T) {
+	m := machineOf(runnerAt("a", "here"))
+	full := from(map[string]Load{"a": {Online: 4}})
+	for range 200 {
+		m.Held("llm", 2_000)
+	}
+	choice, _ := m.Choose(0, Ask{Service: "llm"}, full)
+	require.InDelta(t, 500, float64(choice.Wait), 5)
+	require.Equal(t, 4, m.Places(0, "llm"))
+}
+
+// TestRapidNoWorseRunnerIsChosen compares each choice with all others: none that
+// takes work has a shorter wait, and one that waits is taken only if all do.
+func TestRapidNoWorseRunnerIsChosen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var runners []*toucanhingev1.Runner
+		loads := map[string]Load{}
+		for i := range rapid.IntRange(1, 6).Draw(t, "runners") {
+			id := string(rune('a' + i))
+			r := runnerAt(id, rapid.SampledFrom([]string{"here", "there"}).Draw(t, "data centre"))
+			r.Leaving = rapid.Bool().Draw(t, "leaving")
+			runners = append(runners, r)
+			loads[id] = Load{Online: rapid.IntRange(0, 8).Draw(t, "online"), Batch: rapid.IntRange(0, 4).Draw(t, "batch")}
+		}
+		m := machineOf(runners...)
+		choice, found := m.Choose(0, Ask{Service: "llm", Tie: rapid.Float64Range(0, 0.99).Draw(t, "tie")}, from(loads))
+		for _, r := range runners {
+			if r.GetLeaving() {
+				continue
+			}
+			require.True(t, found)
+			wait := clock.Millis(waitAt(r, loads[r.GetId()], firstHold))
+			require.LessOrEqual(t, choice.Wait, wait)
+		}
+		if found {
+			require.False(t, choice.Runner.GetLeaving())
+		}
+	})
+}
