--- /dev/null
+++ b/control/pkg/batchrun/driver_test.go
@@ -0,0 +1,381 @@
+package batchrun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/digest"
+	"toucanhinge.example/common/pkg/occupancy"
+	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/control/pkg/systemstate"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+var errWire = errors.New("connection reset")
+
+// fixture is a driver over a state without a group, before scripted runners.
+type fixture struct {
+	t        *testing.T
+	machine  *systemstate.Machine
+	exchange *digest.Exchange
+	driver   *Driver
+
+	mu      sync.Mutex
+	applied int64
+	calls   []runner.Call
+	// answer says what a runner does with the nth call, from 0.
+	answer func(n int, call runner.Call) (*runner.Answer, error)
+}
+
+func start(t *testing.T, answer func(n int, call runner.Call) (*runner.Answer, error)) *fixture {
+	t.Helper()
+	f := &fixture{t: t, answer: answer}
+	x, err := digest.Listen(digest.Config{
+		Address: "127.0.0.1:0", Source: "c", Clock: clock.System(), Logger: log.NewNopLogger(), Version: func() uint64 { return 0 },
+	})
+	require.NoError(t, err)
+	f.exchange = x
+	f.machine = systemstate.NewMachine(systemstate.MachineConfig{
+		Folder: t.TempDir(), Fatal: func(err error) { t.Error(err) }, Notify: func(c systemstate.Change) { f.driver.Notify(c) },
+	})
+	f.driver = New(Config{
+		Machine: f.machine, Propose: f.propose, Client: runner.Client{Open: f.open}, Exchange: x,
+		Runners: func() []*toucanhingev1.Runner {
+			return []*toucanhingev1.Runner{{Id: "a", Service: "llm", DataCentre: "here", Slots: 1}, {Id: "b", Service: "llm", DataCentre: "here", Slots: 1}}
+		},
+		DataCentre: "here", Clock: clock.System(), Logger: log.NewNopLogger(), Metrics: NewMetrics(prometheus.NewRegistry()),
+	})
+	require.NoError(t, f.machine.Load(nil))
+	f.do(&toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_ReplaceTable{ReplaceTable: table(1, "/j/")}})
+	return f
+}
+
+func table(version uint64, prefix string) *toucanhingev1.RoutingTable {
+	return &toucanhingev1.RoutingTable{
+		Version: version, Services: []*toucanhingev1.RoutedService{{Name: "llm"}},
+		Routes: []*toucanhingev1.Route{{
+			Name: "jobs", Host: "h", Prefix: prefix, Kind: toucanhingev1.RouteKind_ROUTE_KIND_BATCH, TimeLimitMs: 100, MaxAttempts: 3,
+			CompletionMs: 10_000, RetentionMs: 60_000, Shares: []*toucanhingev1.RouteShare{{Service: "llm", Weight: 1}},
+		}},
+	}
+}
+
+func (f *fixture) run() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.driver.Run(ctx)
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	f.t.Cleanup(stop)
+	return stop
+}
+
+func (f *fixture) propose(_ context.Context, steps ...*toucanhingev1.SystemStep) ([]any, error) {
+	return f.do(steps...), nil
+}
+
+func (f *fixture) do(steps ...*toucanhingev1.SystemStep) []any {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applied++
+	data, err := proto.Marshal(&toucanhingev1.SystemCommand{AtMs: int64(clock.System().Now()), Steps: steps})
+	require.NoError(f.t, err)
+	answers, _ := f.machine.Apply(uint64(f.applied), data).([]any)
+	return answers
+}
+
+func (f *fixture) submit(id string, items int) {
+	job := &toucanhingev1.SubmitJobRequest{Job: id, Host: "h", Target: "/j/x"}
+	for i := range items {
+		job.Items = append(job.Items, &toucanhingev1.JobItem{Id: fmt.Sprintf("%s-%d", id, i), Target: "/j/y", Body: []byte("b")})
+	}
+	f.do(&toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_AcceptJob{AcceptJob: &toucanhingev1.AcceptJobStep{Job: job}}})
+}
+
+func (f *fixture) open(ctx context.Context, call runner.Call) (*runner.Answer, error) {
+	f.mu.Lock()
+	n := len(f.calls)
+	f.calls = append(f.calls, call)
+	f.mu.Unlock()
+	answer, err := f.answer(n, call)
+	if answer != nil {
+		if b, ok := answer.Body.(*hanging); ok {
+			b.ctx = ctx
+		}
+	}
+	return answer, err
+}
+
+func (f *fixture) sent() []runner.Call {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]runner.Call(nil), f.calls...)
+}
+
+// result of the first item, once it is listed.
+func (f *fixture) result(job string) (completed bool, text string) {
+	f.t.Helper()
+	var item systemstate.Item
+	require.Eventually(f.t, func() bool {
+		f.machine.View(func(s *systemstate.State) { item = s.Job(job).Items[0] })
+		return item.Done
+	}, 5*time.Second, 5*time.Millisecond)
+	data, err := f.machine.Text(item.Parts)
+	require.NoError(f.t, err)
+	return item.Completed, string(data)
+}
+
+func ok(body io.ReadCloser) (*runner.Answer, error) {
+	return &runner.Answer{Status: http.StatusOK, Body: body}, nil
+}
+
+func status(code int, notRun bool) (*runner.Answer, error) {
+	return &runner.Answer{Status: code, NotRun: notRun, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func whole(text string) io.ReadCloser { return io.NopCloser(strings.NewReader(text)) }
+
+func cut(text string) io.ReadCloser {
+	return io.NopCloser(io.MultiReader(strings.NewReader(text), failing{}))
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// hanging sends its text and then nothing, until the call is broken off.
+type hanging struct {
+	source io.Reader
+	ctx    context.Context
+}
+
+func (h *hanging) Read(p []byte) (int, error) {
+	n, err := h.source.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	<-h.ctx.Done()
+	return n, h.ctx.Err()
+}
+
+func (h *hanging) Close() error { return nil }
+
+// TestFaultsOfRunners says what an item's result is after each fault. Whatever
+// happens, a completed text is the whole output once, and an item is given up
+// only when it can't be done or failed as often as its route allows.
+func TestFaultsOfRunners(t *testing.T) {
+	const text = "x1\nx2\nx3\nx4"
+	for _, c := range []struct {
+		name      string
+		answer    func(n int, call runner.Call) (*runner.Answer, error)
+		completed bool
+		text      string
+		calls     int
+	}{
+		{"all is well", func(int, runner.Call) (*runner.Answer, error) { return ok(whole(events(1, 4))) }, true, text, 1},
+		{"cut, goes on after its last event", func(n int, call runner.Call) (*runner.Answer, error) {
+			if n == 0 {
+				return ok(cut(events(1, 2) + "id: 3\nda"))
+			}
+			return ok(whole(events(int(call.After)+1, 4)))
+		}, true, text, 2},
+		{"cut right after the last event", func(n int, _ runner.Call) (*runner.Answer, error) {
+			if n == 0 {
+				return ok(cut(events(1, 4)))
+			}
+			return ok(whole(""))
+		}, true, text, 2},
+		{"a gap", func(n int, call runner.Call) (*runner.Answer, error) {
+			if n == 0 {
+				return ok(whole(events(1, 2) + events(4, 4)))
+			}
+			return ok(whole(events(int(call.After)+1, 4)))
+		}, true, text, 2},
+		{"begun anew though asked to go on", func(n int, call runner.Call) (*runner.Answer, error) {
+			switch n {
+			case 0:
+				return ok(cut(events(1, 2)))
+			case 1:
+				return ok(whole(events(1, 4)))
+			default:
+				return ok(whole(events(int(call.After)+1, 4)))
+			}
+		}, true, text, 3},
+		{"refused, unreachable, broken off, another instance", func(n int, call runner.Call) (*runner.Answer, error) {
+			switch n {
+			case 0:
+				return status(http.StatusServiceUnavailable, true)
+			case 1:
+				return nil, &runner.NotSentError{Runner: call.Runner.GetId(), Err: errWire}
+			case 2:
+				return nil, &runner.BrokenError{Runner: call.Runner.GetId(), Err: errWire}
+			case 3:
+				return &runner.Answer{Status: http.StatusMisdirectedRequest, Other: true, Body: whole("")}, nil
+			default:
+				return ok(whole(events(1, 4)))
+			}
+		}, true, text, 5},
+		{"can never be done", func(int, runner.Call) (*runner.Answer, error) {
+			return status(http.StatusUnprocessableEntity, false)
+		}, false, "", 1},
+		{"fails at each run", func(int, runner.Call) (*runner.Answer, error) {
+			return status(http.StatusInternalServerError, false)
+		}, false, "", 3},
+		{"fails once, after it had begun", func(n int, call runner.Call) (*runner.Answer, error) {
+			switch n {
+			case 0:
+				return ok(cut(events(1, 2)))
+			case 1:
+				return status(http.StatusInternalServerError, false)
+			default:
+				return ok(whole(events(int(call.After)+1, 4)))
+			}
+		}, true, text, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t, c.answer)
+			f.run()
+			f.submit("j", 1)
+			completed, got := f.result("j")
+			require.Equal(t, c.completed, completed)
+			require.Equal(t, c.text, got)
+			require.Len(t, f.sent(), c.calls)
+		})
+	}
+}
+
+// Online requests fill a runner where an item is under way. The item gives its
+// place up at once, and goes on from its last event when a place is free.
+func TestAnItemGivesWayAndGoesOn(t *testing.T) {
+	f := start(t, func(n int, call runner.Call) (*runner.Answer, error) {
+		if n == 0 {
+			return ok(&hanging{source: strings.NewReader(events(1, 2))})
+		}
+		return ok(whole(events(int(call.After)+1, 4)))
+	})
+	f.run()
+	f.submit("j", 1)
+	require.Eventually(t, func() bool { return len(f.sent()) == 1 }, time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond)
+	for _, id := range []string{"a", "b"} {
+		f.exchange.Add(id, occupancy.Load{Online: 1})
+	}
+	f.driver.Wake()
+	require.Eventually(t, func() bool {
+		batch := 0
+		f.exchange.View(func(table *occupancy.Table) { batch = table.Load("a").Batch + table.Load("b").Batch })
+		return batch == 0
+	}, time.Second, time.Millisecond)
+	require.Len(t, f.sent(), 1)
+	f.exchange.Add("b", occupancy.Load{Online: -1})
+	f.driver.Wake()
+	completed, text := f.result("j")
+	require.True(t, completed)
+	require.Equal(t, "x1\nx2\nx3\nx4", text)
+	require.Equal(t, uint64(2), f.sent()[1].After)
+}
+
+// The leader logs an item's progress and loses its place. Its successor goes on
+// from the logged event instead of running the item again.
+func TestTheNextLeaderGoesOn(t *testing.T) {
+	f := start(t, func(n int, call runner.Call) (*runner.Answer, error) {
+		if n == 0 {
+			return ok(&hanging{source: strings.NewReader(events(1, 3))})
+		}
+		return ok(whole(events(int(call.After)+1, 4)))
+	})
+	stop := f.run()
+	f.submit("j", 1)
+	require.Eventually(t, func() bool {
+		last := uint64(0)
+		f.machine.View(func(s *systemstate.State) { last = s.Job("j").Items[0].Last })
+		return last == 3
+	}, 3*time.Second, 5*time.Millisecond)
+	stop()
+	f.run()
+	completed, text := f.result("j")
+	require.True(t, completed)
+	require.Equal(t, "x1\nx2\nx3\nx4", text)
+	require.Equal(t, uint64(3), f.sent()[1].After)
+}
+
+// A caller ends its job. The calls under way are broken off and no other begins.
+func TestAnEndedJobStops(t *testing.T) {
+	f := start(t, func(int, runner.Call) (*runner.Answer, error) {
+		return ok(&hanging{source: strings.NewReader(events(1, 1))})
+	})
+	f.run()
+	f.submit("j", 5)
+	require.Eventually(t, func() bool { return len(f.sent()) == 2 }, time.Second, time.Millisecond)
+	f.do(&toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_EndJob{EndJob: &toucanhingev1.EndJobStep{Job: "j"}}})
+	require.Eventually(t, func() bool {
+		batch := 0
+		f.exchange.View(func(table *occupancy.Table) { batch = table.Load("a").Batch + table.Load("b").Batch })
+		return batch == 0
+	}, time.Second, time.Millisecond)
+	time.Sleep(3 * stepEvery)
+	require.Len(t, f.sent(), 2)
+}
+
+// A runner stands still in the middle of an item, and its connection stays open.
+func TestASilentRunnerIsLeft(t *testing.T) {
+	f := start(t, func(n int, call runner.Call) (*runner.Answer, error) {
+		if n == 0 {
+			return ok(&hanging{source: strings.NewReader(events(1, 2))})
+		}
+		return ok(whole(events(int(call.After)+1, 4)))
+	})
+	f.run()
+	f.submit("j", 1)
+	began := time.Now()
+	completed, text := f.result("j")
+	require.True(t, completed)
+	require.Equal(t, "x1\nx2\nx3\nx4", text)
+	require.Less(t, time.Since(began), silence+time.Second)
+}
+
+// The operator removes the route of a job. Its items may then be given up, but
+// not before the operator's next change had the time to bring the route back.
+func TestItemsWhoseRouteIsGoneAreGivenUp(t *testing.T) {
+	f := start(t, func(int, runner.Call) (*runner.Answer, error) {
+		return ok(&hanging{source: strings.NewReader(events(1, 1))})
+	})
+	now := clock.Millis(1_000_000)
+	f.driver.config.Clock = clock.Of(func() clock.Millis { f.mu.Lock(); defer f.mu.Unlock(); return now })
+	f.run()
+	f.submit("j", 1)
+	f.do(&toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_ReplaceTable{ReplaceTable: table(2, "/other/")}})
+	time.Sleep(3 * stepEvery)
+	f.machine.View(func(s *systemstate.State) { require.False(t, s.Job("j").Items[0].Done) })
+	f.mu.Lock()
+	now += routeGrace
+	f.mu.Unlock()
+	completed, _ := f.result("j")
+	require.False(t, completed)
+}
