--- a/common/pkg/logs/logs.go
+++ b/common/pkg/logs/logs.go
@@ -1,4 +1,5 @@
-// Package logs makes the one logger of a process: JSON lines on standard error.
+// Package logs makes the one logger of a process: JSON lines on standard output,
+// bounded and never blocking.
 package logs
 
 import (
@@ -21,6 +22,16 @@
 	KeyEvent   = "event"
 )
 
+// Events that follow a request, an item or a job; docs/OPERATIONS.md lists them
+// with the keys of their lines.
+const (
+	EventRequestEnded     = "request-ended"
+	EventRequestElsewhere = "request-goes-elsewhere"
+	EventItemPaused       = "item-paused"
+	EventItemEnded        = "item-call-ended"
+	EventJobAnswered      = "job-answered"
+)
+
 // Config describes the logger.
 type Config struct {
 	Program string
@@ -32,7 +43,11 @@
 
 // New makes the logger.
 func New(config Config) log.Logger {
-	l := log.NewJSONLogger(log.NewSyncWriter(config.Writer))
+	return Over(config, log.NewJSONLogger(log.NewSyncWriter(config.Writer)))
+}
+
+// Over makes the logger over one that writes the lines.
+func Over(config Config, l log.Logger) log.Logger {
 	l = log.With(l, "at", log.TimestampFormat(time.Now, time.RFC3339Nano), "program", config.Program, "name", config.Name)
 	return level.NewFilter(l, allow(config.Level))
 }
--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -281,7 +281,7 @@
 	}
 	for _, key := range actions.Pause {
 		d.config.Metrics.Paused.Inc()
-		level.Info(d.config.Logger).Log(logs.KeyEvent, "item-paused", logs.KeyJob, key.Job, "index", key.Index, "reason", "online-work")
+		level.Info(d.config.Logger).Log(logs.KeyEvent, logs.EventItemPaused, logs.KeyJob, key.Job, "index", key.Index, "reason", "online-work")
 		if r := d.runs[key]; r != nil {
 			r.cancel()
 		}
@@ -379,7 +379,7 @@
 	}
 	key, id := o.run.key, o.run.target.GetId()
 	d.config.Metrics.Ended.WithLabelValues(string(o.kind)).Inc()
-	level.Info(d.config.Logger).Log(logs.KeyEvent, "item-call-ended", logs.KeyJob, key.Job, "index", key.Index,
+	level.Info(d.config.Logger).Log(logs.KeyEvent, logs.EventItemEnded, logs.KeyJob, key.Job, "index", key.Index,
 		"item", o.run.item, "runner", id, "outcome", o.kind, "events", o.run.progress.lastEvent(), logs.KeyError, o.err)
 	switch o.kind {
 	case finished:
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -306,7 +306,7 @@
 func (e *exchange) again(r *toucanhingev1.Runner, reason string, err error) bool {
 	e.err = err
 	e.server.metrics.retried.WithLabelValues(reason).Inc()
-	level.Info(e.server.config.Logger).Log(logs.KeyEvent, "request-goes-elsewhere", logs.KeyRequest, e.request.ID,
+	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventRequestElsewhere, logs.KeyRequest, e.request.ID,
 		"runner", r.GetId(), "reason", reason, "ran", e.ran, logs.KeyError, err)
 	return true
 }
@@ -403,8 +403,12 @@
 		first = e.firstAt - e.request.Arrived
 		e.server.metrics.first.Observe(first.Duration().Seconds())
 	}
-	level.Info(e.server.config.Logger).Log(logs.KeyEvent, "request-ended", logs.KeyRequest, e.request.ID,
-		"route", e.route.Name, "outcome", e.outcome, "reason", e.reason, "runners", e.tried, "ran", e.ran,
+	logger := level.Info(e.server.config.Logger)
+	if e.outcome != outcomeServed && e.outcome != outcomeLeft {
+		logger = level.Warn(e.server.config.Logger)
+	}
+	logger.Log(logs.KeyEvent, logs.EventRequestEnded, logs.KeyRequest, e.request.ID,
+		"route", e.route.Name, "version", e.server.Version(), "outcome", e.outcome, "reason", e.reason, "runners", e.tried, "ran", e.ran,
 		"expected-wait-ms", e.wait, "returned", e.returned, "waited-ms", e.waited, "first-ms", first, "took-ms", now-e.request.Arrived, "events", e.events,
 		"left-ms", e.ends-now, logs.KeyError, e.err)
 	if e.outcome == outcomeCut {
--- a/gateway/pkg/jobs/service.go
+++ b/gateway/pkg/jobs/service.go
@@ -71,7 +71,7 @@
 			return unwrap(leader.Core.SubmitJob(ctx, connect.NewRequest(job)))
 		})
 	outcome := submitted(answer.GetOutcome(), err)
-	level.Info(s.config.Logger).Log(logs.KeyEvent, "job-answered", logs.KeyJob, job.GetJob(), "route", route.Name,
+	level.Info(s.config.Logger).Log(logs.KeyEvent, logs.EventJobAnswered, logs.KeyJob, job.GetJob(), "route", route.Name,
 		"items", len(job.GetItems()), "outcome", answer.GetOutcome(), "status", outcome.status(), logs.KeyError, err)
 	return outcome
 }
