--- a/control/pkg/core/lead.go
+++ b/control/pkg/core/lead.go
@@ -24,6 +24,10 @@
 	repairEvery    = 100 * time.Millisecond
 	repairTime     = 2 * time.Second
 	announceEvery  = 400 * time.Millisecond
+	// announceTime ends one try to tell the leader. A VM that lost its disk knows
+	// the seeds only, and some of these may be gone: with a longer try it was taken
+	// in again a second later.
+	announceTime = 250 * time.Millisecond
 	// silentAfter is the silence after which a VM of the core is replaced if
 	// another one stands ready. A killed process is back within two seconds.
 	silentAfter clock.Millis = 3_000
@@ -260,7 +264,7 @@
 		c.fleet.announce(c.config.Clock.Now(), c.config.Name, c.config.Address, c.identity)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, 3*announceEvery)
+	ctx, cancel := context.WithTimeout(ctx, 4*announceTime)
 	defer cancel()
 	answer, err := control.Call(ctx, c.config.Core, Group, "announce", c.tellLeader)
 	if err != nil {
--- a/control/pkg/core/service.go
+++ b/control/pkg/core/service.go
@@ -75,6 +75,8 @@
 }
 
 func (c *Core) tellLeader(ctx context.Context, leader *control.Replica) (*toucanhingev1.AnnounceResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, announceTime)
+	defer cancel()
 	answer, err := leader.Core.Announce(ctx, connect.NewRequest(&toucanhingev1.AnnounceRequest{
 		Name: c.config.Name, Address: c.config.Address, Identity: c.identity, DataCentre: c.config.DataCentre,
 	}))
--- a/toucanctl/pkg/app/app.go
+++ b/toucanctl/pkg/app/app.go
@@ -48,7 +48,7 @@
 	case parser.Subcommand() == nil:
 		parser.WriteHelp(errOut)
 		return exitUsage
-	case len(arguments.Control) == 0:
+	case len(arguments.Control) == 0 && (arguments.Explain == nil || len(arguments.Explain.Logs) == 0):
 		return usage(errOut, errors.New("--control or TOUCANHINGE_CONTROL must name a control VM"))
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
--- a/toucanctl/pkg/app/app_test.go
+++ b/toucanctl/pkg/app/app_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 
@@ -182,3 +184,27 @@
 	require.Equal(t, exitDone, code)
 	require.Regexp(t, `(?s)known-as.*chosen.*ended`, out)
 }
+
+// The on-call engineer has nothing but log files, and no control VM answers.
+func TestExplainReadsLogFiles(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "gateway.log")
+	line := `{"at":"2026-01-02T03:04:06.2Z","event":"request-ended","level":"warn","name":"gateway-1","request":"q1","outcome":"refused","reason":"all-places-taken"}`
+	require.NoError(t, os.WriteFile(path, []byte(line+"\n"), 0o600))
+	for _, c := range []struct {
+		name string
+		args []string
+		code int
+		text string
+	}{
+		{"found", []string{"explain", "q1", "--logs", path}, 0, "last failure: request-ended at gateway-1: outcome=refused reason=all-places-taken request=q1"},
+		{"unknown", []string{"explain", "q2", "--logs", path}, 4, ""},
+		{"no such file", []string{"explain", "q1", "--logs", path + "x"}, 1, ""},
+		{"no span", []string{"explain", "q1", "--around", "soon", "--logs", path}, 2, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var out, errOut bytes.Buffer
+			require.Equal(t, c.code, Run(c.args, &out, &errOut), errOut.String())
+			require.Contains(t, out.String(), c.text)
+		})
+	}
+}
--- a/toucanctl/pkg/app/arguments.go
+++ b/toucanctl/pkg/app/arguments.go
@@ -165,7 +165,9 @@
 	Address string `arg:"positional,required" help:"IP:port of the control VM"`
 }
 
-// ExplainCommand asks all processes about an id.
+// ExplainCommand asks all processes about an id, or reads their log lines.
 type ExplainCommand struct {
-	ID string `arg:"positional,required" help:"request id, job id, JOB/INDEX of an item, or endpoint"`
+	ID     string   `arg:"positional,required" help:"request id, job id, item id or JOB/INDEX of an item, or endpoint"`
+	Logs   []string `arg:"--logs" help:"read these log files in place of asking; - is standard input" placeholder:"FILE"`
+	Around string   `arg:"--around" default:"2s" help:"with --logs: show what the processes believed from so long before"`
 }
--- a/toucanctl/pkg/app/dispatch.go
+++ b/toucanctl/pkg/app/dispatch.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"os"
+	"time"
 
+	"toucanhinge.example/toucanctl/pkg/loglines"
 	"toucanhinge.example/toucanctl/pkg/operator"
 	"toucanhinge.example/toucanctl/pkg/output"
 
@@ -102,9 +106,38 @@
 }
 
 func explain(ctx context.Context, e *ExplainCommand, c *operator.Client, p output.Printer) error {
+	if len(e.Logs) > 0 {
+		return explainLogs(e, p)
+	}
 	answers, silent, err := c.Explain(ctx, e.ID)
 	if err != nil {
 		return err
 	}
 	return p.Explained(e.ID, answers, silent)
 }
+
+// explainLogs follows an id through log files.
+func explainLogs(e *ExplainCommand, p output.Printer) error {
+	around, err := time.ParseDuration(e.Around)
+	if err != nil {
+		return &usageError{fmt.Sprintf("--around: %v", err)}
+	}
+	var logs []io.Reader
+	for _, path := range e.Logs {
+		if path == "-" {
+			logs = append(logs, os.Stdin)
+			continue
+		}
+		file, err := os.Open(path)
+		if err != nil {
+			return fmt.Errorf("open log: %w", err)
+		}
+		defer func() { _ = file.Close() }()
+		logs = append(logs, file)
+	}
+	trace, err := loglines.Read(e.ID, around, logs...)
+	if err != nil {
+		return err
+	}
+	return p.Traced(e.ID, trace)
+}
