--- a/common/pkg/web/server.go
+++ b/common/pkg/web/server.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http2"
 )
 
 // Limits that every listener has. A sender that takes longer for its header, or
@@ -77,22 +79,33 @@
 	return fmt.Errorf("requests still under way: %w", err)
 }
 
+// Times of the client's connections.
+const (
+	dialTime  = 2 * time.Second
+	keepAlive = 15 * time.Second
+	// pingAfter is the silence after which a connection is asked whether it is
+	// alive: a peer that froze or was cut off silently keeps its connection open
+	// for hours, and every call on it would hang.
+	pingAfter = 2 * time.Second
+	pingTime  = 2 * time.Second
+)
+
 // NewClient returns a client for calls between own processes, over unencrypted
 // HTTP/2. It never follows redirects. Answers may stream for long, so it has no
 // overall timeout: callers set a deadline on their context.
+//
+// It takes the transport of golang.org/x/net: the one of net/http reads a flag of
+// a request's body while a stream that has just failed still writes it, which the
+// race detector reports now and then.
 func NewClient() *http.Client {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}
-	transport := &http.Transport{
-		Protocols:   protocols,
-		DialContext: dialer.DialContext,
-		HTTP2: &http.HTTP2Config{
-			// A peer that froze or was cut off silently keeps its connection
-			// open for hours; without pings every call on it would hang.
-			SendPingTimeout: 2 * time.Second,
-			PingTimeout:     2 * time.Second,
+	dialer := &net.Dialer{Timeout: dialTime, KeepAlive: keepAlive}
+	transport := &http2.Transport{
+		AllowHTTP: true,
+		DialTLSContext: func(ctx context.Context, network, address string, _ *tls.Config) (net.Conn, error) {
+			return dialer.DialContext(ctx, network, address)
 		},
+		ReadIdleTimeout: pingAfter,
+		PingTimeout:     pingTime,
 		IdleConnTimeout: idleTimeout,
 	}
 	return &http.Client{
--- a/control/pkg/core/fleet_test.go
+++ b/control/pkg/core/fleet_test.go
@@ -56,7 +56,10 @@
 	s := &site{t: t}
 	var addresses []string
 	for i := range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		// An address of this process's own: another test could take the port
+		// between our look and its use.
+		pid := os.Getpid()
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 16+pid%200, pid/200%250, i+1))
 		require.NoError(t, err)
 		addresses = append(addresses, listener.Addr().String())
 		require.NoError(t, listener.Close())
@@ -230,7 +233,7 @@
 			count++
 		}
 		return count == len(want)
-	}, patience, 20*time.Millisecond)
+	}, patience, 20*time.Millisecond, "the voters aren't those wanted: %v", s)
 }
 
 // standby waits until a VM is a member that holds everything and doesn't vote.
