--- a/common/pkg/control/client.go
+++ b/common/pkg/control/client.go
@@ -167,6 +167,14 @@
 	return c.Replica(address)
 }
 
+// Known is the address of the replica believed to lead the group, empty if none
+// is known.
+func (c *Client) Known(group uint32) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaders[group]
+}
+
 func (c *Client) learn(group uint32, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/common/pkg/digest/exchange.go
+++ b/common/pkg/digest/exchange.go
@@ -27,6 +27,12 @@
 	// costs one datagram to each daemon instead of one for each request. Runners
 	// need some 10 ms to a first token, so a picture 4 ms old places as well.
 	gather = 4 * time.Millisecond
+	// gatherPeers is the number of peers up to which that holds; with more, changes
+	// are gathered for longer, so that a daemon's datagrams don't grow with the
+	// fleet: at 100 gateways they made up most of the bytes between data centres.
+	gatherPeers = 16
+	// tellEmpty is how often in a row it is told that nothing is under way.
+	tellEmpty = 2
 	// mostBytes is the largest UDP payload.
 	mostBytes = 64 << 10
 )
@@ -52,7 +58,9 @@
 	socket   *net.UDPConn
 	epoch    uint64
 	sequence uint64
-	dirty    chan struct{}
+	// empty counts the digests in a row that told of nothing.
+	empty int
+	dirty chan struct{}
 
 	mu    sync.Mutex
 	table *occupancy.Table
@@ -141,13 +149,19 @@
 			select {
 			case <-ctx.Done():
 				return
-			case <-time.After(gather):
+			case <-time.After(x.gather()):
 			}
 		}
 		x.tell()
 	}
 }
 
+func (x *Exchange) gather() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return gather * time.Duration(max(len(x.peers)/gatherPeers, 1))
+}
+
 // tell sends the own work to all. A digest that can't be sent is dropped: the
 // next one replaces it.
 func (x *Exchange) tell() {
@@ -155,7 +169,13 @@
 	peers := x.peers
 	loads := x.table.Loads()
 	x.mu.Unlock()
-	if len(peers) == 0 {
+	// Nothing under way is told twice, lest one is lost, and then no more.
+	if len(loads) > 0 {
+		x.empty = 0
+	} else {
+		x.empty++
+	}
+	if len(peers) == 0 || x.empty > tellEmpty {
 		return
 	}
 	x.sequence++
--- a/control/pkg/core/operator.go
+++ b/control/pkg/core/operator.go
@@ -103,12 +103,9 @@
 	return vm, found
 }
 
-// LeaderOf tells which VM to ask instead, if the error is that this one doesn't
-// lead. The address is empty while no leader is known.
-func LeaderOf(err error) (address string, elsewhere bool) {
+// IsElsewhere says whether the error is that this VM doesn't lead, so that the
+// call had no effect and the leader can be asked.
+func IsElsewhere(err error) bool {
 	var notLeader *replica.NotLeaderError
-	if !errors.As(err, &notLeader) {
-		return "", false
-	}
-	return notLeader.Address, true
+	return errors.As(err, &notLeader)
 }
--- a/control/pkg/core/service.go
+++ b/control/pkg/core/service.go
@@ -218,11 +218,24 @@
 
 // leads refuses on a VM that doesn't lead, and names the one that does.
 func (c *Core) leads() error {
-	_, address, self := c.group.Leader()
-	if self {
+	if _, _, self := c.group.Leader(); self {
 		return nil
 	}
-	return control.NotLeader(address)
+	return control.NotLeader(c.Leader())
+}
+
+// Leader is the address of the leader as far as known here, empty otherwise. A VM
+// that isn't a member, on a site with more of them than the group needs, knows it
+// only from its announcements; callers that were told nothing there tried VM
+// after VM, for seconds on a site with 100 of them.
+func (c *Core) Leader() string {
+	if _, address, _ := c.group.Leader(); address != "" {
+		return address
+	}
+	if known := c.config.Core.Known(Group); known != c.config.Address {
+		return known
+	}
+	return ""
 }
 
 // refusal tells a caller why its call had no effect, or that this isn't known.
@@ -230,7 +243,7 @@
 	var notLeader *replica.NotLeaderError
 	switch {
 	case errors.As(err, &notLeader):
-		return control.NotLeader(notLeader.Address)
+		return control.NotLeader(c.Leader())
 	case errors.Is(err, replica.ErrOverloaded):
 		return connect.NewError(connect.CodeResourceExhausted, err)
 	default:
