--- a/common/pkg/digest/exchange.go
+++ b/common/pkg/digest/exchange.go
@@ -109,6 +109,14 @@
 	x.wake()
 }
 
+// SetSilent notes that a runner has said nothing for too long, or speaks again.
+func (x *Exchange) SetSilent(runner string, silent bool) {
+	x.mu.Lock()
+	x.table.SetSilent(x.config.Clock.Now(), runner, silent)
+	x.mu.Unlock()
+	x.wake()
+}
+
 // View runs a function on the table, which it must not keep.
 func (x *Exchange) View(read func(*occupancy.Table)) {
 	x.mu.Lock()
@@ -167,7 +175,7 @@
 func (x *Exchange) tell() {
 	x.mu.Lock()
 	peers := x.peers
-	loads := x.table.Loads()
+	loads := x.table.Loads(x.config.Clock.Now())
 	x.mu.Unlock()
 	// Nothing under way is told twice, lest one is lost, and then no more.
 	if len(loads) > 0 {
--- a/common/pkg/occupancy/table.go
+++ b/common/pkg/occupancy/table.go
@@ -22,11 +22,19 @@
 	Batch  int
 }
 
+// SilentFor is how long a runner counts as silent after a daemon noticed it. If it
+// is still silent then, whoever asks it next notices it again.
+const SilentFor clock.Millis = 1_000
+
 // Table sums up the digests of all daemons and the own work.
 type Table struct {
 	sources map[string]*source
 	total   map[string]Load
 	own     map[string]Load
+	// silent counts the daemons that find a runner silent; ownSilent says until
+	// when this one does.
+	silent    map[string]int
+	ownSilent map[string]clock.Millis
 }
 
 type source struct {
@@ -38,7 +46,10 @@
 
 // New makes an empty table.
 func New() *Table {
-	return &Table{sources: map[string]*source{}, total: map[string]Load{}, own: map[string]Load{}}
+	return &Table{
+		sources: map[string]*source{}, total: map[string]Load{}, own: map[string]Load{},
+		silent: map[string]int{}, ownSilent: map[string]clock.Millis{},
+	}
 }
 
 // Load is what all daemons together have under way at a runner.
@@ -56,6 +67,22 @@
 	t.sum(runner, change)
 }
 
+// SetSilent notes that a runner, with own calls under way, has said nothing for too
+// long, or that it speaks again.
+func (t *Table) SetSilent(now clock.Millis, runner string, silent bool) {
+	if silent {
+		t.ownSilent[runner] = now + SilentFor
+	} else {
+		delete(t.ownSilent, runner)
+	}
+}
+
+// Silent says whether this daemon or another one finds a runner silent. One lost
+// answer is no proof of that, so it holds for a second only.
+func (t *Table) Silent(now clock.Millis, runner string) bool {
+	return t.silent[runner] > 0 || t.ownSilent[runner] > now
+}
+
 // Digest takes over what another daemon told. Datagrams may come late, twice or
 // in another order; only the newest counts.
 func (t *Table) Digest(now clock.Millis, d *toucanhingev1.LoadDigest) {
@@ -70,6 +97,7 @@
 	t.sources[d.GetSource()] = s
 	for _, l := range s.loads {
 		t.sum(l.GetRunner(), loadOf(l))
+		t.count(l, 1)
 	}
 }
 
@@ -87,19 +115,39 @@
 	}
 }
 
-// Loads lists the own work for a digest.
-func (t *Table) Loads() []*toucanhingev1.RunnerLoad {
+// Loads lists the own work, and the runners found silent, for a digest.
+func (t *Table) Loads(now clock.Millis) []*toucanhingev1.RunnerLoad {
 	list := make([]*toucanhingev1.RunnerLoad, 0, len(t.own))
 	for runner, l := range t.own {
-		list = append(list, &toucanhingev1.RunnerLoad{Runner: runner, Online: uint32(l.Online), Batch: uint32(l.Batch)})
+		list = append(list, &toucanhingev1.RunnerLoad{
+			Runner: runner, Online: uint32(l.Online), Batch: uint32(l.Batch), Silent: t.ownSilent[runner] > now,
+		})
+	}
+	for runner, until := range t.ownSilent {
+		if until <= now {
+			delete(t.ownSilent, runner)
+		} else if t.own[runner] == (Load{}) {
+			list = append(list, &toucanhingev1.RunnerLoad{Runner: runner, Silent: true})
+		}
 	}
 	return list
 }
 
+func (t *Table) count(l *toucanhingev1.RunnerLoad, change int) {
+	if !l.GetSilent() {
+		return
+	}
+	t.silent[l.GetRunner()] += change
+	if t.silent[l.GetRunner()] == 0 {
+		delete(t.silent, l.GetRunner())
+	}
+}
+
 func (t *Table) forget(s *source) {
 	for _, l := range s.loads {
 		was := loadOf(l)
 		t.sum(l.GetRunner(), Load{Online: -was.Online, Batch: -was.Batch})
+		t.count(l, -1)
 	}
 }
 
--- a/common/pkg/occupancy/table_test.go
+++ b/common/pkg/occupancy/table_test.go
@@ -116,3 +116,22 @@
 		})
 	})
 }
+
+// A runner goes dark. The daemon that notices first tells the others, who send no
+// request there; when its calls hear from it again, or after a second, it is
+// asked again.
+func TestASilentRunnerIsKnownToAll(t *testing.T) {
+	here, there := New(), New()
+	here.SetSilent(0, "r", true)
+	require.True(t, here.Silent(0, "r"))
+	there.Digest(0, &toucanhingev1.LoadDigest{Source: "here", Epoch: 1, Sequence: 1, Loads: here.Loads(0)})
+	require.True(t, there.Silent(0, "r"))
+	require.False(t, there.Silent(0, "other"))
+	here.SetSilent(300, "r", false)
+	there.Digest(300, &toucanhingev1.LoadDigest{Source: "here", Epoch: 1, Sequence: 2, Loads: here.Loads(300)})
+	require.False(t, there.Silent(300, "r"))
+	here.SetSilent(400, "r", true)
+	require.True(t, here.Silent(399+SilentFor, "r"))
+	require.False(t, here.Silent(400+SilentFor, "r"))
+	require.Empty(t, here.Loads(400+SilentFor))
+}
--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -66,6 +66,8 @@
 	mu      sync.Mutex
 	changes []systemstate.Change
 	ended   []outcome
+	// heard is when something came from a runner last.
+	heard map[string]clock.Millis
 
 	// The rest belongs to Run.
 	machine  *dispatch.Machine
@@ -104,6 +106,9 @@
 	d.runs = map[dispatch.Key]*run{}
 	d.progress = map[dispatch.Key]*progress{}
 	d.lost = map[string]clock.Millis{}
+	d.mu.Lock()
+	d.heard = map[string]clock.Millis{}
+	d.mu.Unlock()
 	d.takeChanges()
 	d.takeEnded()
 	d.reload()
@@ -121,6 +126,24 @@
 	}
 }
 
+// hear notes that something came from a runner.
+func (d *Driver) hear(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heard[id] = d.config.Clock.Now()
+}
+
+// tellSilent tells all daemons of a runner from which nothing came under any item.
+func (d *Driver) tellSilent(id string) {
+	d.mu.Lock()
+	quiet := d.config.Clock.Now()-d.heard[id] >= quietAfter
+	d.mu.Unlock()
+	if quiet {
+		d.config.Exchange.SetSilent(id, true)
+		level.Info(d.config.Logger).Log(logs.KeyEvent, "runner-silent", "runner", id, "for-ms", quietAfter)
+	}
+}
+
 func (d *Driver) takeChanges() []systemstate.Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -218,7 +241,9 @@
 	d.config.Exchange.View(func(t *occupancy.Table) {
 		for _, r := range d.config.Runners() {
 			total, own := t.Load(r.GetId()), t.Own(r.GetId())
-			loads[r.GetId()] = dispatch.Load{Online: total.Online, Batch: total.Batch - own.Batch}
+			loads[r.GetId()] = dispatch.Load{
+				Online: total.Online, Batch: total.Batch - own.Batch, Silent: t.Silent(d.config.Clock.Now(), r.GetId()),
+			}
 		}
 	})
 	services := map[string][]string{}
--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/runner"
 	"toucanhinge.example/common/pkg/sse"
 	"toucanhinge.example/control/pkg/dispatch"
@@ -22,6 +23,9 @@
 	// elsewhere. Runners make an event every 20 ms, 80 when slow; one that says
 	// nothing for a second is dark, or cut off without a reset.
 	silence = time.Second
+	// quietAfter is the silence of a runner, over all items there, after which all
+	// daemons are told: online requests shouldn't be sent there either.
+	quietAfter clock.Millis = 150
 	// readBuffer holds a few events of some 100 bytes.
 	readBuffer = 2 << 10
 )
@@ -152,6 +156,8 @@
 	defer cancel()
 	watchdog := time.AfterFunc(silence, cancel)
 	defer watchdog.Stop()
+	quiet := time.AfterFunc(quietAfter.Duration(), func() { r.driver.tellSilent(r.target.GetId()) })
+	defer quiet.Stop()
 	answer, err := r.driver.config.Client.Open(ctx, r.describe(item, host))
 	if err != nil {
 		var unsent *runner.NotSentError
@@ -164,7 +170,11 @@
 	if kind, done := judge(answer); done {
 		return kind, fmt.Errorf("%w %d", errStatus, answer.Status)
 	}
-	return r.read(answer.Body, watchdog)
+	return r.read(answer.Body, func() {
+		watchdog.Reset(silence)
+		quiet.Reset(quietAfter.Duration())
+		r.driver.hear(r.target.GetId())
+	})
 }
 
 func (r *run) describe(item *toucanhingev1.JobItem, host string) runner.Call {
@@ -195,7 +205,7 @@
 }
 
 // read appends the stream's events.
-func (r *run) read(body io.Reader, watchdog *time.Timer) (outcomeKind, error) {
+func (r *run) read(body io.Reader, heard func()) (outcomeKind, error) {
 	reader := sse.NewReader(body, readBuffer)
 	for {
 		event, err := reader.Next()
@@ -205,7 +215,7 @@
 		if err != nil {
 			return broken, err
 		}
-		watchdog.Reset(silence)
+		heard()
 		if err := r.progress.add(event); err != nil {
 			return broken, err
 		}
--- a/control/pkg/dispatch/machine.go
+++ b/control/pkg/dispatch/machine.go
@@ -43,6 +43,8 @@
 type Load struct {
 	Online int
 	Batch  int
+	// Silent says that a daemon with calls there has heard nothing for too long.
+	Silent bool
 }
 
 // Surroundings is what the machine can see when it decides.
@@ -250,6 +252,9 @@
 			continue
 		}
 		load := around.Load(r.GetId())
+		if load.Silent {
+			continue
+		}
 		free := int(r.GetSlots()) - load.Online - load.Batch - len(m.running[r.GetId()])
 		if free > 0 {
 			places = append(places, &place{runner: r, free: free, near: around.Near(r)})
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -226,6 +226,8 @@
 	began := e.now()
 	silence := e.watch(cancel)
 	defer silence.stop()
+	quiet := e.listen(r.GetId())
+	defer quiet.stop()
 	answer, err := e.server.config.Client.Open(ctx, e.call(r))
 	if err != nil {
 		return e.unanswered(parent, r, silence.explain(parent, err))
@@ -240,7 +242,7 @@
 		return e.broken(parent, r, fmt.Errorf("%w: %d", errStatus, answer.Status))
 	}
 	if e.route.Streams() && answer.Status == http.StatusOK {
-		err = silence.explain(parent, e.stream(answer, silence))
+		err = silence.explain(parent, e.stream(answer, silence, quiet))
 	} else {
 		err = e.pass(answer)
 	}
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -176,7 +176,7 @@
 	s.config.Exchange.View(func(t *occupancy.Table) {
 		choice, ok = s.places.Choose(s.config.Clock.Now(), ask, func(id string) place.Load {
 			l := t.Load(id)
-			return place.Load{Online: l.Online, Batch: l.Batch}
+			return place.Load{Online: l.Online, Batch: l.Batch, Silent: t.Silent(s.config.Clock.Now(), id)}
 		})
 	})
 	return choice, ok
--- a/gateway/pkg/forward/stream.go
+++ b/gateway/pkg/forward/stream.go
@@ -34,7 +34,7 @@
 // stream passes events on, one by one, each whole. An event that broke off in
 // the middle never reaches the caller, so that the stream can go on at another
 // runner right after the last one.
-func (e *exchange) stream(answer *runner.Answer, silence *silenceTimer) error {
+func (e *exchange) stream(answer *runner.Answer, silence *silenceTimer, quiet *quietTimer) error {
 	reader := sse.NewReader(answer.Body, eventBuffer)
 	flusher := http.NewResponseController(e.w)
 	for {
@@ -47,6 +47,7 @@
 			return err
 		}
 		silence.restart(e.longestGap())
+		quiet.heard()
 		if event.Numbered {
 			if e.resume && event.ID != e.after+1 {
 				return errGap
--- a/gateway/pkg/place/place.go
+++ b/gateway/pkg/place/place.go
@@ -37,6 +37,8 @@
 type Load struct {
 	Online int
 	Batch  int
+	// Silent says that a daemon with calls there has heard nothing for too long.
+	Silent bool
 }
 
 // Ask describes a request that needs a runner.
@@ -69,12 +71,14 @@
 	blocked map[string]clock.Millis
 	doubted map[string]clock.Millis
 	hold    map[string]float64
+	heard   map[string]clock.Millis
 }
 
 // New makes a machine that knows no runner.
 func New(config Config) *Machine {
 	return &Machine{
 		config: config, blocked: map[string]clock.Millis{}, doubted: map[string]clock.Millis{}, hold: map[string]float64{},
+		heard: map[string]clock.Millis{},
 	}
 }
 
@@ -94,6 +98,11 @@
 			delete(m.doubted, id)
 		}
 	}
+	for id := range m.heard {
+		if !known(id) {
+			delete(m.heard, id)
+		}
+	}
 }
 
 // Block keeps requests off a runner until a time: it refused one, or can't be
@@ -107,6 +116,14 @@
 	m.doubted[id] = max(m.doubted[id], until)
 }
 
+// Heard notes that something came from a runner.
+func (m *Machine) Heard(now clock.Millis, id string) { m.heard[id] = now }
+
+// Quiet says whether nothing has come from a runner for a span.
+func (m *Machine) Quiet(now clock.Millis, id string, span clock.Millis) bool {
+	return now-m.heard[id] >= span
+}
+
 // Held notes how long a request held its place, a span.
 func (m *Machine) Held(service string, span clock.Millis) {
 	if m.hold[service] == 0 {
@@ -183,7 +200,7 @@
 	if r.GetDataCentre() != m.config.DataCentre {
 		cost += farCost
 	}
-	if m.doubted[r.GetId()] > now {
+	if m.doubted[r.GetId()] > now || load.Silent {
 		cost += doubtCost
 	}
 	return cost
--- a/lab/pkg/replay/world.go
+++ b/lab/pkg/replay/world.go
@@ -160,7 +160,7 @@
 		g.changed = false
 		w.sequence++
 		w.digests = append(w.digests, digest{w.now + w.config.DigestDelay, i, &toucanhingev1.LoadDigest{
-			Source: fmt.Sprint(i), Epoch: 1, Sequence: w.sequence, Loads: g.table.Loads(),
+			Source: fmt.Sprint(i), Epoch: 1, Sequence: w.sequence, Loads: g.table.Loads(w.now),
 		}})
 	}
 }
