--- /dev/null
+++ b/gateway/pkg/core/follower_test.go
@@ -0,0 +1,158 @@
+package core
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"toucanhinge.example/common/pkg/control"
+	"toucanhinge.example/common/pkg/routing"
+	"toucanhinge.example/common/pkg/web"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+	"toucanhinge.example/schema/gen/toucanhinge/v1/toucanhingev1connect"
+)
+
+// fakeCore is a VM of the core that leads, names another one, or is silent.
+type fakeCore struct {
+	toucanhingev1connect.UnimplementedCoreServiceHandler
+	mu      sync.Mutex
+	address string
+	leader  string
+	silent  bool
+	version uint64
+}
+
+func (f *fakeCore) Attend(ctx context.Context, r *connect.Request[toucanhingev1.AttendRequest]) (*connect.Response[toucanhingev1.AttendResponse], error) {
+	f.mu.Lock()
+	leader, silent, version := f.leader, f.silent, f.version
+	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if leader != f.address {
+		return nil, control.NotLeader(leader)
+	}
+	answer := &toucanhingev1.AttendResponse{}
+	if version > r.Msg.GetHaveVersion() {
+		answer.Table = &toucanhingev1.RoutingTable{Version: version}
+	}
+	if answer.Table == nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return connect.NewResponse(answer), nil
+}
+
+func (f *fakeCore) set(leader string, silent bool, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leader, f.silent, f.version = leader, silent, version
+}
+
+func start(t *testing.T, count int) []*fakeCore {
+	t.Helper()
+	var cores []*fakeCore
+	for range count {
+		f := &fakeCore{}
+		mux := http.NewServeMux()
+		mux.Handle(toucanhingev1connect.NewCoreServiceHandler(f))
+		server := httptest.NewUnstartedServer(mux)
+		server.Config.Protocols = new(http.Protocols)
+		server.Config.Protocols.SetUnencryptedHTTP2(true)
+		server.Start()
+		t.Cleanup(server.CloseClientConnections)
+		f.address = strings.TrimPrefix(server.URL, "http://")
+		cores = append(cores, f)
+	}
+	return cores
+}
+
+// tables collects the versions that were taken.
+type tables struct {
+	mu       sync.Mutex
+	versions []uint64
+}
+
+func (v *tables) take(t *routing.Table) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.versions = append(v.versions, t.Version)
+}
+
+func (v *tables) last() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.versions) == 0 {
+		return 0
+	}
+	return v.versions[len(v.versions)-1]
+}
+
+func follow(t *testing.T, known []string, seeds func() []string) *tables {
+	t.Helper()
+	taken := &tables{}
+	f := New(Config{
+		Name: "g", Core: control.New(control.Config{Addresses: known, Fresh: web.NewClient, AttemptTimeout: time.Second}),
+		Logger: log.NewNopLogger(), Table: taken.take, Fleet: func(*toucanhingev1.FleetView) {}, Seeds: seeds,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return taken
+}
+
+func addresses(cores []*fakeCore) []string {
+	var list []string
+	for _, f := range cores {
+		list = append(list, f.address)
+	}
+	return list
+}
+
+// The leader is cut off from this gateway, without a reset, and the VM that
+// follows it still names it. The gateway must find the next leader within the
+// time in which a drain has to be known: it passes the silent one over, also
+// when another VM names it.
+func TestALeaderThatIsCutOffIsPassedOver(t *testing.T) {
+	cores := start(t, 3)
+	first, second, third := cores[0], cores[1], cores[2]
+	for _, f := range cores {
+		f.set(first.address, false, 1)
+	}
+	taken := follow(t, addresses(cores), func() []string { return nil })
+	require.Eventually(t, func() bool { return taken.last() == 1 }, 5*time.Second, 5*time.Millisecond)
+
+	began := time.Now()
+	first.set(first.address, true, 1)
+	second.set(third.address, false, 2)
+	third.set(third.address, false, 2)
+	time.AfterFunc(300*time.Millisecond, func() { second.set(third.address, false, 2) })
+	require.Eventually(t, func() bool { return taken.last() == 2 }, 5*time.Second, 5*time.Millisecond)
+	require.Less(t, time.Since(began), 1500*time.Millisecond)
+}
+
+// All VMs that the gateway knows are gone. It takes the addresses that the
+// platform wrote into its settings meanwhile.
+func TestSeedsAreReadAnewWhenNobodyAnswers(t *testing.T) {
+	cores := start(t, 2)
+	old, fresh := cores[0], cores[1]
+	old.set("", false, 1)
+	fresh.set(fresh.address, false, 3)
+	taken := follow(t, []string{old.address}, func() []string { return []string{fresh.address} })
+	require.Eventually(t, func() bool { return taken.last() == 3 }, attendTime+5*time.Second, 10*time.Millisecond)
+}
--- a/gateway/pkg/jobs/service.go
+++ b/gateway/pkg/jobs/service.go
@@ -22,6 +22,10 @@
 	group = 0
 	// callTime bounds a call for which the caller names no patience.
 	callTime = 3 * time.Second
+	// tryTime ends one try to hand a job in or to end one. A leader answers within
+	// some 10 ms; one that lost power answers never, and desks count on an answer
+	// within about half a second. Both calls may be repeated.
+	tryTime = 400 * time.Millisecond
 	// answerSlack is left of a caller's patience for the answer's way.
 	answerSlack = 200 * time.Millisecond
 	// quotaRetry is when a job over the quota may fit: items run for seconds.
@@ -68,6 +72,8 @@
 	defer cancel()
 	answer, err := control.Call(ctx, s.config.Core, group, "submit-job",
 		func(ctx context.Context, leader *control.Replica) (*toucanhingev1.SubmitJobResponse, error) {
+			ctx, cancel := context.WithTimeout(ctx, tryTime)
+			defer cancel()
 			return unwrap(leader.Core.SubmitJob(ctx, connect.NewRequest(job)))
 		})
 	outcome := submitted(answer.GetOutcome(), err)
@@ -136,6 +142,8 @@
 	defer cancel()
 	answer, err := control.Call(ctx, s.config.Core, group, "end-job",
 		func(ctx context.Context, leader *control.Replica) (*toucanhingev1.EndJobResponse, error) {
+			ctx, cancel := context.WithTimeout(ctx, tryTime)
+			defer cancel()
 			return unwrap(leader.Core.EndJob(ctx, connect.NewRequest(&toucanhingev1.EndJobRequest{Job: job})))
 		})
 	if refusal := s.unsure(job, answer.GetFound(), err); refusal != nil {
