--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -134,7 +134,7 @@
 func (s *Server) Route(host, target string) (routing.Route, *Refusal) {
 	table := s.table.Load()
 	if table == nil {
-		return routing.Route{}, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoTable, RetryAfter: tableRetry}
+		return routing.Route{}, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoTable, RetryAfter: tableRetry + time.Duration(rand.Int64N(int64(tableSpread)))}
 	}
 	route, found := table.Match(host, routing.PathOf(target))
 	if !found {
@@ -143,8 +143,15 @@
 	return route, nil
 }
 
-// tableRetry is when a gateway that has just started will know its routes.
-const tableRetry = 500 * time.Millisecond
+// tableRetry is when a gateway that has just started knows its routes at the
+// latest, in most cases: after 50 ms if the core runs, after a second if all
+// machines have lost power and the core elects a leader. Callers come back once,
+// within a third of their time; told to come back after half a second, they were
+// turned away again by a fleet that was ready a moment later.
+const (
+	tableRetry  = 900 * time.Millisecond
+	tableSpread = 700 * time.Millisecond
+)
 
 // Serve answers a request on a route.
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, route routing.Route, request Request) {
