--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := common control gateway lab platform schema sidecar toucanctl
 LINT := GOWORK=off go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: reference setup build test lint format generate demo up bench soak
+.PHONY: soak-fleet reference setup build test lint format generate demo up bench soak
 
 # setup fetches every library; all later commands work without the network.
 setup:
@@ -56,3 +56,12 @@
 	go test -count=1 -timeout 120m -run 'Rapid|Fuzz' \
 		$$(git grep -l pgregory.net/rapid -- '*_test.go' | xargs -n1 dirname | sort -u | sed 's/^/.\//') \
 		-rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
+
+# soak-fleet runs the platform's programs under drawn faults and prints the seed;
+# make soak-fleet SPAN=10m, or make soak-fleet FAULTSEED=7 to repeat the faults.
+SPAN = 60s
+FAULTSEED = 0
+soak-fleet:
+	@mkdir -p bin/platform
+	go build -o bin/platform/ ./platform/cmd/... ./platform/soak
+	bin/platform/soak --bin bin/platform --for $(SPAN) --seed $(FAULTSEED)
--- a/gateway/pkg/jobs/service_test.go
+++ b/gateway/pkg/jobs/service_test.go
@@ -76,7 +76,9 @@
 }
 
 func outcome(o toucanhingev1.SubmitOutcome) func() (*toucanhingev1.SubmitJobResponse, error) {
-	return func() (*toucanhingev1.SubmitJobResponse, error) { return &toucanhingev1.SubmitJobResponse{Outcome: o}, nil }
+	return func() (*toucanhingev1.SubmitJobResponse, error) {
+		return &toucanhingev1.SubmitJobResponse{Outcome: o}, nil
+	}
 }
 
 func submit(s *Service, patience int64) Outcome {
