--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -126,24 +124,6 @@
 	}
 }
 
-// hear notes that something came from a runner.
-func (d *Driver) hear(id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.heard[id] = d.config.Clock.Now()
-}
-
-// tellSilent tells all daemons of a runner from which nothing came under any item.
-func (d *Driver) tellSilent(id string) {
-	d.mu.Lock()
-	quiet := d.config.Clock.Now()-d.heard[id] >= quietAfter
-	d.mu.Unlock()
-	if quiet {
-		d.config.Exchange.SetSilent(id, true)
-		level.Info(d.config.Logger).Log(logs.KeyEvent, "runner-silent", "runner", id, "for-ms", quietAfter)
-	}
-}
-
 func (d *Driver) takeChanges() []systemstate.Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -264,39 +244,6 @@
 	}
 }
 
-// giveUpLostRoutes lists the items of jobs whose route is gone as failed.
-func (d *Driver) giveUpLostRoutes(ctx context.Context, now clock.Millis) {
-	gone := map[string]int{}
-	d.config.Machine.View(func(s *systemstate.State) {
-		for _, job := range d.machine.Jobs() {
-			j := s.Job(job)
-			if j == nil {
-				continue
-			}
-			if _, found := s.Route(j); found || s.Table() == nil {
-				delete(d.lost, job)
-				continue
-			}
-			if d.lost[job] == 0 {
-				d.lost[job] = now
-			}
-			if now-d.lost[job] >= routeGrace {
-				gone[job] = len(j.Items)
-			}
-		}
-	})
-	for job, items := range gone {
-		delete(d.lost, job)
-		for i := range items {
-			key := dispatch.Key{Job: job, Index: uint32(i)}
-			if d.machine.Has(key) {
-				d.stop(key)
-				d.fail(ctx, key, "route-gone")
-			}
-		}
-	}
-}
-
 func (d *Driver) act(ctx context.Context, actions dispatch.Actions) {
 	for _, key := range actions.GiveUp {
 		if r := d.runs[key]; r != nil {
@@ -343,57 +290,6 @@
 	}()
 }
 
-// load takes up the progress that an earlier leader logged.
-func (d *Driver) load(key dispatch.Key) *progress {
-	var item systemstate.Item
-	d.config.Machine.View(func(s *systemstate.State) {
-		if j := s.Job(key.Job); j != nil && int(key.Index) < len(j.Items) {
-			item = j.Items[key.Index]
-		}
-	})
-	text, err := d.config.Machine.Text(item.Parts)
-	if err != nil {
-		level.Error(d.config.Logger).Log(logs.KeyEvent, "progress-unread", logs.KeyJob, key.Job, "index", key.Index, logs.KeyError, err)
-		return &progress{}
-	}
-	return &progress{last: item.Last, text: text, kept: item.Last, keptBytes: len(text)}
-}
-
-// keepProgress logs what running items have made, so that they go on from there
-// under the next leader. One command carries it all; the next waits for it.
-func (d *Driver) keepProgress(ctx context.Context, now clock.Millis) {
-	if now-d.keptAt < keepEvery || !d.keeping.CompareAndSwap(false, true) {
-		return
-	}
-	d.keptAt = now
-	var steps []*toucanhingev1.SystemStep
-	var noted []func()
-	for key, p := range d.progress {
-		after, last, text := p.unkept()
-		if last == after {
-			continue
-		}
-		steps = append(steps, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_KeepProgress{
-			KeepProgress: &toucanhingev1.KeepProgressStep{Job: key.Job, Item: key.Index, After: after, Last: last, Text: text},
-		}})
-		noted = append(noted, func() { p.keep(last, len(text)) })
-	}
-	if len(steps) == 0 {
-		d.keeping.Store(false)
-		return
-	}
-	d.background(func() {
-		defer d.keeping.Store(false)
-		if _, err := d.config.Propose(ctx, steps...); err != nil {
-			level.Warn(d.config.Logger).Log(logs.KeyEvent, "progress-unlogged", "items", len(steps), logs.KeyError, err)
-			return
-		}
-		for _, note := range noted {
-			note()
-		}
-	})
-}
-
 // settle takes up how a call ended.
 func (d *Driver) settle(ctx context.Context, now clock.Millis, o outcome) {
 	if d.runs[o.run.key] == o.run {
@@ -427,103 +323,3 @@
 	case paused:
 	}
 }
-
-// countFailure notes a failed attempt durably, so that an item that fails at
-// every runner ends at its limit even if the leader changes in between.
-func (d *Driver) countFailure(ctx context.Context, now clock.Millis, o outcome) {
-	key := o.run.key
-	attempts, limit := uint32(1), uint32(1)
-	d.config.Machine.View(func(s *systemstate.State) {
-		j := s.Job(key.Job)
-		if j == nil {
-			return
-		}
-		attempts += j.Items[key.Index].Failures
-		if route, found := s.Route(j); found {
-			limit = max(route.MaxAttempts, 1)
-		}
-	})
-	if attempts >= limit {
-		d.stop(key)
-		d.fail(ctx, key, "attempts")
-		return
-	}
-	d.machine.Stopped(now, key, refusedPause)
-	d.background(func() {
-		d.insist(ctx, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_CountFailure{
-			CountFailure: &toucanhingev1.CountFailureStep{Job: key.Job, Item: key.Index},
-		}})
-	})
-}
-
-// complete lists an item's text. Only what isn't logged yet travels, unless the
-// log holds another progress than we believe.
-func (d *Driver) complete(ctx context.Context, key dispatch.Key, p *progress) {
-	d.config.Metrics.Listed.WithLabelValues("finished").Inc()
-	finish := func(after uint64, text []byte) *toucanhingev1.SystemStep {
-		return &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_FinishItem{FinishItem: &toucanhingev1.FinishItemStep{
-			Job: key.Job, Item: key.Index, Completed: true, Text: text, After: after,
-		}}}
-	}
-	d.background(func() {
-		after, _, rest := p.unkept()
-		if listed, ok := d.insist(ctx, finish(after, rest)).(bool); ok && !listed {
-			d.insist(ctx, finish(0, p.whole()))
-		}
-	})
-}
-
-// fail lists an item that is given up.
-func (d *Driver) fail(ctx context.Context, key dispatch.Key, reason string) {
-	d.config.Metrics.Listed.WithLabelValues(reason).Inc()
-	level.Info(d.config.Logger).Log(logs.KeyEvent, "item-given-up", logs.KeyJob, key.Job, "index", key.Index, "reason", reason)
-	d.background(func() {
-		d.insist(ctx, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_FinishItem{
-			FinishItem: &toucanhingev1.FinishItemStep{Job: key.Job, Item: key.Index},
-		}})
-	})
-}
-
-func (d *Driver) background(run func()) {
-	d.active.Add(1)
-	go func() {
-		defer d.active.Done()
-		run()
-	}()
-}
-
-// insist logs a step, again and again while this process leads, and returns its
-// outcome: a result that was made must not be made once more because the disk was
-// slow.
-func (d *Driver) insist(ctx context.Context, step *toucanhingev1.SystemStep) any {
-	for ctx.Err() == nil {
-		answers, err := d.config.Propose(ctx, step)
-		if err == nil {
-			return answers[0]
-		}
-		level.Warn(d.config.Logger).Log(logs.KeyEvent, "item-step-unlogged", logs.KeyError, err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(stepEvery + time.Duration(rand.Int64N(int64(stepEvery)))):
-		}
-	}
-	return nil
-}
-
-// request reads an item's request and the host of its job.
-func (d *Driver) request(key dispatch.Key) (item *toucanhingev1.JobItem, host string, err error) {
-	ref, found := systemstate.Item{}, false
-	d.config.Machine.View(func(s *systemstate.State) {
-		if j := s.Job(key.Job); j != nil && int(key.Index) < len(j.Items) {
-			ref, host, found = j.Items[key.Index], j.Host, true
-		}
-	})
-	if !found {
-		return nil, "", errGone
-	}
-	item, err = d.config.Machine.Item(ref.Request)
-	if err != nil {
-		return nil, "", fmt.Errorf("read an item: %w", err)
-	}
-	return item, host, nil
-}
--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -15,6 +15,7 @@
 	"toucanhinge.example/common/pkg/runner"
 	"toucanhinge.example/common/pkg/sse"
 	"toucanhinge.example/control/pkg/dispatch"
+	"toucanhinge.example/control/pkg/systemstate"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
@@ -221,3 +222,21 @@
 		}
 	}
 }
+
+// request reads an item's request and the host of its job.
+func (d *Driver) request(key dispatch.Key) (item *toucanhingev1.JobItem, host string, err error) {
+	ref, found := systemstate.Item{}, false
+	d.config.Machine.View(func(s *systemstate.State) {
+		if j := s.Job(key.Job); j != nil && int(key.Index) < len(j.Items) {
+			ref, host, found = j.Items[key.Index], j.Host, true
+		}
+	})
+	if !found {
+		return nil, "", errGone
+	}
+	item, err = d.config.Machine.Item(ref.Request)
+	if err != nil {
+		return nil, "", fmt.Errorf("read an item: %w", err)
+	}
+	return item, host, nil
+}
--- a/control/pkg/jobstate/machine.go
+++ b/control/pkg/jobstate/machine.go
@@ -1,16 +1,11 @@
 package jobstate
 
 import (
-	"bytes"
-	"encoding/binary"
 	"fmt"
 	"io"
-	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"toucanhinge.example/common/pkg/clock"
@@ -19,12 +14,8 @@
 )
 
 const (
-	itemsName     = "items"
-	resultsName   = "results"
-	folderPrefix  = "generation-"
-	firstFolder   = folderPrefix + "1"
-	folderMode    = 0o750
-	largestHeader = 1 << 30
+	itemsName   = "items"
+	resultsName = "results"
 )
 
 // MachineConfig describes a machine.
@@ -93,7 +84,7 @@
 func (m *Machine) Checkpoint() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	if err := m.deleteOtherFolders(); err != nil {
+	if err := segment.DeleteOtherGenerations(m.config.Folder, m.folder); err != nil {
 		return nil, err
 	}
 	snapshot := m.state.Save()
@@ -124,7 +115,7 @@
 	if err := m.restore(snapshot); err != nil {
 		return err
 	}
-	return m.deleteOtherFolders()
+	return segment.DeleteOtherGenerations(m.config.Folder, m.folder)
 }
 
 // restore puts the state of a manifest in place of the present one.
@@ -157,7 +148,7 @@
 		return nil, fmt.Errorf("decode the checkpoint: %w", err)
 	}
 	if snapshot.Folder == "" {
-		snapshot.Folder = firstFolder
+		snapshot.Folder = segment.FirstGeneration
 	}
 	return snapshot, nil
 }
@@ -175,35 +166,14 @@
 	}
 }
 
-// deleteOtherFolders removes what an unfinished or a superseded import left.
-func (m *Machine) deleteOtherFolders() error {
-	entries, err := os.ReadDir(m.config.Folder)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return fmt.Errorf("list the group's folder: %w", err)
-	}
-	for _, e := range entries {
-		if !strings.HasPrefix(e.Name(), folderPrefix) || e.Name() == m.folder {
-			continue
-		}
-		if err := os.RemoveAll(filepath.Join(m.config.Folder, e.Name())); err != nil {
-			return fmt.Errorf("delete an old generation: %w", err)
-		}
-	}
-	return nil
-}
-
 // Export ships a manifest and the segments that it names.
 func (m *Machine) Export(manifest []byte, w io.Writer) error {
 	snapshot, err := readManifest(manifest)
 	if err != nil {
 		return err
 	}
-	header := binary.LittleEndian.AppendUint64(nil, uint64(len(manifest)))
-	if _, err := io.Copy(w, bytes.NewReader(append(header, manifest...))); err != nil {
-		return fmt.Errorf("ship the checkpoint: %w", err)
+	if err := segment.SendManifest(w, manifest); err != nil {
+		return err
 	}
 	items, results := m.stores(snapshot.GetFolder())
 	if err := items.Export(snapshot.GetItems(), w); err != nil {
@@ -219,22 +189,15 @@
 // its own and synced. The old folder stays until the next checkpoint: a crash
 // before the caller has noted the returned manifest loads the old one again.
 func (m *Machine) Import(r io.Reader) ([]byte, error) {
-	var length [8]byte
-	if _, err := io.ReadFull(r, length[:]); err != nil {
-		return nil, fmt.Errorf("receive the checkpoint's length: %w", err)
-	}
-	if binary.LittleEndian.Uint64(length[:]) > largestHeader {
-		return nil, fmt.Errorf("receive the checkpoint: %w", segment.ErrDamaged)
-	}
-	manifest := make([]byte, binary.LittleEndian.Uint64(length[:]))
-	if _, err := io.ReadFull(r, manifest); err != nil {
-		return nil, fmt.Errorf("receive the checkpoint: %w", err)
+	manifest, err := segment.ReceiveManifest(r)
+	if err != nil {
+		return nil, err
 	}
 	snapshot, err := readManifest(manifest)
 	if err != nil {
 		return nil, err
 	}
-	snapshot.Folder = m.freeFolder()
+	snapshot.Folder = segment.FreeGeneration(m.config.Folder, m.folder)
 	items, results := m.stores(snapshot.GetFolder())
 	if err := items.Import(snapshot.GetItems(), r); err != nil {
 		return nil, fmt.Errorf("receive the items: %w", err)
@@ -254,15 +217,6 @@
 	return manifest, nil
 }
 
-func (m *Machine) freeFolder() string {
-	for n := 1; ; n++ {
-		name := fmt.Sprintf("%s%d", folderPrefix, n)
-		if _, err := os.Stat(filepath.Join(m.config.Folder, name)); errors.Is(err, os.ErrNotExist) && name != m.folder {
-			return name
-		}
-	}
-}
-
 // View runs a reader on the state; it must not keep what it points to.
 func (m *Machine) View(read func(*State)) {
 	m.mu.RLock()
--- a/control/pkg/systemstate/machine.go
+++ b/control/pkg/systemstate/machine.go
@@ -1,15 +1,11 @@
 package systemstate
 
 import (
-	"encoding/binary"
 	"fmt"
 	"io"
-	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"toucanhinge.example/common/pkg/clock"
@@ -18,10 +14,7 @@
 )
 
 const (
-	recordsName   = "records"
-	folderPrefix  = "generation-"
-	firstFolder   = folderPrefix + "1"
-	largestHeader = 1 << 30
+	recordsName = "records"
 	// rollBytes is the length of a segment file. A file goes when its last
 	// record does, so it is small against a VM's disk of some hundred MB.
 	rollBytes = 8 << 20
@@ -77,7 +70,7 @@
 func (m *Machine) Checkpoint() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	if err := m.deleteOtherFolders(); err != nil {
+	if err := segment.DeleteOtherGenerations(m.config.Folder, m.folder); err != nil {
 		return nil, err
 	}
 	snapshot := m.state.Save()
@@ -102,7 +95,7 @@
 	if err := m.restore(snapshot); err != nil {
 		return err
 	}
-	return m.deleteOtherFolders()
+	return segment.DeleteOtherGenerations(m.config.Folder, m.folder)
 }
 
 // restore puts the state of a manifest in place of the present one.
@@ -139,7 +132,7 @@
 		return nil, fmt.Errorf("decode the checkpoint: %w", err)
 	}
 	if snapshot.Folder == "" {
-		snapshot.Folder = firstFolder
+		snapshot.Folder = segment.FirstGeneration
 	}
 	return snapshot, nil
 }
@@ -148,35 +141,14 @@
 	return segment.New(segment.Config{Folder: filepath.Join(m.config.Folder, folder), Name: recordsName, Roll: rollBytes})
 }
 
-// deleteOtherFolders removes what an unfinished or a superseded import left.
-func (m *Machine) deleteOtherFolders() error {
-	entries, err := os.ReadDir(m.config.Folder)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return fmt.Errorf("list the group's folder: %w", err)
-	}
-	for _, e := range entries {
-		if !strings.HasPrefix(e.Name(), folderPrefix) || e.Name() == m.folder {
-			continue
-		}
-		if err := os.RemoveAll(filepath.Join(m.config.Folder, e.Name())); err != nil {
-			return fmt.Errorf("delete an old generation: %w", err)
-		}
-	}
-	return nil
-}
-
 // Export ships a manifest and the segments that it names.
 func (m *Machine) Export(manifest []byte, w io.Writer) error {
 	snapshot, err := readManifest(manifest)
 	if err != nil {
 		return err
 	}
-	header := binary.LittleEndian.AppendUint64(nil, uint64(len(manifest)))
-	if _, err := w.Write(append(header, manifest...)); err != nil {
-		return fmt.Errorf("ship the checkpoint: %w", err)
+	if err := segment.SendManifest(w, manifest); err != nil {
+		return err
 	}
 	if err := m.store(snapshot.GetFolder()).Export(snapshot.GetSegments(), w); err != nil {
 		return fmt.Errorf("ship the records: %w", err)
@@ -188,7 +160,7 @@
 // its own and synced. The old folder stays until the next checkpoint: a crash
 // before the caller has noted the returned manifest loads the old one again.
 func (m *Machine) Import(r io.Reader) ([]byte, error) {
-	manifest, err := receiveManifest(r)
+	manifest, err := segment.ReceiveManifest(r)
 	if err != nil {
 		return nil, err
 	}
@@ -196,7 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
-	snapshot.Folder = m.freeFolder()
+	snapshot.Folder = segment.FreeGeneration(m.config.Folder, m.folder)
 	if err := m.store(snapshot.GetFolder()).Import(snapshot.GetSegments(), r); err != nil {
 		return nil, fmt.Errorf("receive the records: %w", err)
 	}
@@ -212,30 +184,6 @@
 	return encode(snapshot), nil
 }
 
-func receiveManifest(r io.Reader) ([]byte, error) {
-	var length [8]byte
-	if _, err := io.ReadFull(r, length[:]); err != nil {
-		return nil, fmt.Errorf("receive the checkpoint's length: %w", err)
-	}
-	if binary.LittleEndian.Uint64(length[:]) > largestHeader {
-		return nil, fmt.Errorf("receive the checkpoint: %w", segment.ErrDamaged)
-	}
-	manifest := make([]byte, binary.LittleEndian.Uint64(length[:]))
-	if _, err := io.ReadFull(r, manifest); err != nil {
-		return nil, fmt.Errorf("receive the checkpoint: %w", err)
-	}
-	return manifest, nil
-}
-
-func (m *Machine) freeFolder() string {
-	for n := 1; ; n++ {
-		name := fmt.Sprintf("%s%d", folderPrefix, n)
-		if _, err := os.Stat(filepath.Join(m.config.Folder, name)); errors.Is(err, os.ErrNotExist) && name != m.folder {
-			return name
-		}
-	}
-}
-
 // View runs a reader on the state; it must not keep what it points to.
 func (m *Machine) View(read func(*State)) {
 	m.mu.RLock()
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
@@ -17,7 +13,6 @@
 	"toucanhinge.example/common/pkg/occupancy"
 	"toucanhinge.example/common/pkg/routing"
 	"toucanhinge.example/common/pkg/runner"
-	"toucanhinge.example/gateway/pkg/admission"
 	"toucanhinge.example/gateway/pkg/place"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
@@ -37,11 +32,6 @@
 	// mostTries bounds the runners that are asked for one request, those that
 	// didn't run it included.
 	mostTries = 6
-	// roomTick is the longest time between two looks of a waiting request.
-	roomTick = 30 * time.Millisecond
-	// wholeBody is the largest body of an answer that is read whole before it is
-	// passed on, so that a runner that breaks off can be replaced unseen.
-	wholeBody = 64 << 10
 )
 
 var (
@@ -104,86 +94,6 @@
 	e.giveUp(ctx, *e.refusal(ReasonNoRunner, ask))
 }
 
-// choose finds a place, waits for one, or says why the request is refused.
-func (e *exchange) choose(ctx context.Context) (place.Choice, *Refusal) {
-	choice, ask, found := e.look()
-	if !found {
-		return choice, e.refusal(ReasonNoRunner, ask)
-	}
-	// What has begun goes on wherever it can.
-	if e.begun {
-		return choice, nil
-	}
-	switch admission.Decide(e.now(), ask) {
-	case admission.Go:
-		return choice, nil
-	case admission.Wait:
-		return e.await(ctx)
-	default:
-		return choice, e.refusal(ReasonFull, ask)
-	}
-}
-
-// look chooses a runner as things are now.
-func (e *exchange) look() (place.Choice, admission.Ask, bool) {
-	choice, found := e.server.choose(place.Ask{Service: e.service, Tried: e.tried})
-	e.wait = choice.Wait
-	hold, crowded := e.server.conditions(e.service)
-	return choice, admission.Ask{
-		Arrived: e.request.Arrived, Ends: e.ends, Objective: e.route.Objective(), Returned: e.returned,
-		Expected: choice.Wait, Hold: hold, Gap: clock.Millis(e.route.GapObjectiveMs), Crowded: crowded && !e.inRoom,
-	}, found
-}
-
-// await waits until a place is free and nobody is in front.
-func (e *exchange) await(ctx context.Context) (place.Choice, *Refusal) {
-	s := e.server
-	began := e.now()
-	s.mu.Lock()
-	id := s.room.Enter(e.ends)
-	e.inRoom = true
-	s.mu.Unlock()
-	s.metrics.waiting.Inc()
-	defer func() {
-		s.mu.Lock()
-		s.room.Leave(id)
-		s.mu.Unlock()
-		s.metrics.waiting.Dec()
-		e.waited += e.now() - began
-		s.LoadChanged()
-	}()
-	for {
-		s.mu.Lock()
-		first, freed := s.room.First(id), s.freed
-		s.mu.Unlock()
-		choice, ask, found := e.look()
-		if !found {
-			return choice, e.refusal(ReasonNoRunner, ask)
-		}
-		verdict := admission.Decide(e.now(), ask)
-		if verdict == admission.Refuse {
-			return choice, e.refusal(ReasonFull, ask)
-		}
-		if first && verdict == admission.Go {
-			return choice, nil
-		}
-		select {
-		case <-ctx.Done():
-			return choice, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonTimeLimit}
-		case <-freed:
-		case <-time.After(roomTick):
-		}
-	}
-}
-
-// refusal tells when to come back.
-func (e *exchange) refusal(reason string, ask admission.Ask) *Refusal {
-	return &Refusal{
-		Status: http.StatusServiceUnavailable, Reason: reason,
-		RetryAfter: admission.RetryAfter(e.now(), ask, rand.Float64()).Duration(),
-	}
-}
-
 // giveUp ends a request that can't be served, with the truth about whether it
 // may have run.
 func (e *exchange) giveUp(ctx context.Context, refusal Refusal) {
@@ -318,76 +228,6 @@
 	return e.route.Repeatable() && e.ran < int(max(e.route.MaxAttempts, 1))
 }
 
-// begin sends the answer's header to the caller.
-func (e *exchange) begin(answer *runner.Answer) {
-	if e.begun {
-		return
-	}
-	e.begun = true
-	header := e.w.Header()
-	for name, values := range answer.Header {
-		if !hopByHop[name] {
-			header[name] = values
-		}
-	}
-	if answer.Length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
-	}
-	if header.Get("Date") == "" {
-		// The answer's header is the runner's; we add none of our own.
-		header["Date"] = nil
-	}
-	if header.Get("Content-Type") == "" {
-		header["Content-Type"] = nil
-	}
-	e.server.closeIfLeaving(header)
-	e.w.WriteHeader(answer.Status)
-}
-
-// hopByHop are the fields that concern one connection only.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-}
-
-// pass passes an answer on that is no stream.
-func (e *exchange) pass(answer *runner.Answer) error {
-	head, err := io.ReadAll(io.LimitReader(answer.Body, wholeBody))
-	if err != nil {
-		return fmt.Errorf("read answer: %w", err)
-	}
-	e.begin(answer)
-	if _, err := e.w.Write(head); err != nil {
-		return fmt.Errorf("%w: %w", errLeft, err)
-	}
-	if len(head) < wholeBody {
-		return nil
-	}
-	rest := &sourceError{source: answer.Body}
-	if _, err := io.Copy(e.w, rest); err != nil {
-		if rest.err != nil {
-			return fmt.Errorf("read answer: %w", rest.err)
-		}
-		return fmt.Errorf("%w: %w", errLeft, err)
-	}
-	return nil
-}
-
-// sourceError remembers whether a copy failed because of its source.
-type sourceError struct {
-	source io.Reader
-	err    error
-}
-
-// Read implements io.Reader.
-func (s *sourceError) Read(p []byte) (int, error) {
-	n, err := s.source.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
-		s.err = err
-	}
-	return n, err
-}
-
 func (e *exchange) finish(answer *runner.Answer) {
 	e.outcome = outcomeServed
 	if answer.Status >= http.StatusInternalServerError {
