--- a/common/pkg/runner/runner.go
+++ b/common/pkg/runner/runner.go
@@ -46,8 +46,6 @@
 	NotRun bool
 	// Other says that another instance has the address now.
 	Other bool
-	// Leaving says that the runner takes no more work after this.
-	Leaving bool
 }
 
 // Client makes calls. The body of an answer must be closed; closing it before
--- a/control/pkg/core/core.go
+++ b/control/pkg/core/core.go
@@ -69,6 +69,8 @@
 	Directory func(context.Context) ([]*toucanhingev1.Runner, error)
 	// Core calls the leader, wherever it is.
 	Core *control.Client
+	// Seeds lists addresses to fall back on when no known VM of the core answers.
+	Seeds func() []string
 	// Fatal ends the process: its state can't be trusted any more.
 	Fatal func(error)
 }
--- a/control/pkg/core/fleet_test.go
+++ b/control/pkg/core/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,8 @@
 	folder   string
 	founders []string
 	known    []string
+	// seeds are the addresses in its settings now; nil means known.
+	seeds atomic.Pointer[[]string]
 
 	core   *Core
 	server *web.Server
@@ -94,7 +97,13 @@
 		Directory: func(context.Context) ([]*toucanhingev1.Runner, error) {
 			return []*toucanhingev1.Runner{{Id: "r", Service: "llm", Slots: 1, Leaving: true}}, nil
 		},
-		Core:  client(v.known),
+		Core: client(v.known),
+		Seeds: func() []string {
+			if seeds := v.seeds.Load(); seeds != nil {
+				return *seeds
+			}
+			return v.known
+		},
 		Fatal: func(err error) { v.t.Log(v.name, err) },
 	})
 	require.NoError(v.t, err)
--- a/control/pkg/core/lead.go
+++ b/control/pkg/core/lead.go
@@ -269,6 +269,8 @@
 	answer, err := control.Call(ctx, c.config.Core, Group, "announce", c.tellLeader)
 	if err != nil {
 		level.Debug(c.config.Logger).Log(logs.KeyEvent, "announce-failed", logs.KeyError, err)
+		// The VMs that we know may all be gone, and the settings name others by now.
+		c.config.Core.SetAddresses(c.config.Seeds())
 		return
 	}
 	c.config.Core.SetAddresses(answer.GetCoreAddresses())
--- a/control/pkg/core/lost_test.go
+++ b/control/pkg/core/lost_test.go
@@ -109,6 +109,24 @@
 	s.replace(2)
 }
 
+// A VM that lost its disk knows only VMs that are gone; the platform has written
+// others into its settings meanwhile. It announces itself to those.
+func TestAVMFindsTheCoreByNewSeeds(t *testing.T) {
+	s := newSite(t, 4)
+	for _, v := range s.vms[:3] {
+		v.start()
+	}
+	s.replace(1)
+	late := s.vms[3]
+	seeds := late.known
+	late.known = []string{"127.0.0.1:1"}
+	late.start()
+	time.Sleep(3 * announceEvery)
+	late.seeds.Store(&seeds)
+	s.registered(4)
+	s.standby(late)
+}
+
 // registered waits until the core knows so many VMs by name.
 func (s *site) registered(count int) {
 	s.t.Helper()
--- a/control/pkg/core/service.go
+++ b/control/pkg/core/service.go
@@ -78,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, announceTime)
 	defer cancel()
 	answer, err := leader.Core.Announce(ctx, connect.NewRequest(&toucanhingev1.AnnounceRequest{
-		Name: c.config.Name, Address: c.config.Address, Identity: c.identity, DataCentre: c.config.DataCentre,
+		Name: c.config.Name, Address: c.config.Address, Identity: c.identity,
 	}))
 	if err != nil {
 		return nil, err
