Let gateways carry the calls of batch items

Gateways now make the calls in the leader's place. The leader promises a digest each 50 ms while it runs items; a gateway that hears none for 300 ms closes the connections of what it carries, and the runners stop. If no gateway takes a call within 150 ms, the next one does, then the leader itself.

--- /dev/null
+++ b/control/pkg/carrier/carrier.go
@@ -0,0 +1,224 @@
+// Package carrier calls runners through gateways, which end the calls if this VM
+// vanishes; by itself a runner would go on for seconds. It chooses the gateway:
+// one near the runner, so that the way is no longer than a call of our own, and
+// the one that carries least, so that the loss of a gateway costs little.
+package carrier
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/runner"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+	"toucanhinge.example/schema/gen/toucanhinge/v1/toucanhingev1connect"
+)
+
+const (
+	// takeTime is how long a gateway may need to take a call: a millisecond as a
+	// rule, 50 on a slow VM. It has lost power, or is frozen, if it takes longer.
+	takeTime = 150 * time.Millisecond
+	// suspectTime is how long a gateway that didn't take a call is passed over. A
+	// killed process is back within two seconds.
+	suspectTime = 2 * time.Second
+	// mostGateways bounds the gateways that are asked to take one call.
+	mostGateways = 2
+)
+
+var errNotTaken = errors.New("the gateway didn't take the call")
+
+// Gateway is one that may carry calls.
+type Gateway struct {
+	// Address is where it takes calls of own daemons, IP:port.
+	Address    string
+	DataCentre string
+}
+
+// Config describes a carrier.
+type Config struct {
+	// Source names this daemon, as its load digests do.
+	Source string
+	// Gateways lists those that are there.
+	Gateways func() []Gateway
+	// Direct calls runners from here, if no gateway takes a call.
+	Direct runner.Client
+	// HTTP makes a client for one gateway.
+	HTTP   func() *http.Client
+	Logger log.Logger
+}
+
+// Carrier calls runners through gateways.
+type Carrier struct {
+	config Config
+
+	mu       sync.Mutex
+	gateways map[string]*carrying
+}
+
+// carrying is what is known of one gateway.
+type carrying struct {
+	calls   int
+	suspect time.Time
+	client  toucanhingev1connect.CarryServiceClient
+	http    *http.Client
+}
+
+// New makes a carrier.
+func New(config Config) *Carrier {
+	return &Carrier{config: config, gateways: map[string]*carrying{}}
+}
+
+// Calls is the carrier as a client of runners.
+func (c *Carrier) Calls() runner.Client { return runner.Client{Open: c.open} }
+
+func (c *Carrier) open(ctx context.Context, call runner.Call) (*runner.Answer, error) {
+	for range mostGateways {
+		address, found := c.choose(call.Runner.GetDataCentre())
+		if !found {
+			break
+		}
+		answer, err := c.carry(ctx, address, call)
+		if !errors.Is(err, errNotTaken) || ctx.Err() != nil {
+			return answer, err
+		}
+		level.Info(c.config.Logger).Log(logs.KeyEvent, "call-not-taken", "gateway", address, logs.KeyRequest, call.Request, logs.KeyError, err)
+	}
+	return c.config.Direct.Open(ctx, call)
+}
+
+// choose takes a place at a gateway; leave gives it back.
+func (c *Carrier) choose(dataCentre string) (address string, found bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *Gateway
+	now := time.Now()
+	gateways := slices.Clone(c.config.Gateways())
+	rand.Shuffle(len(gateways), func(i, j int) { gateways[i], gateways[j] = gateways[j], gateways[i] })
+	for i, g := range gateways {
+		if c.state(g.Address).suspect.After(now) {
+			continue
+		}
+		if best == nil || c.compare(dataCentre, g, *best) < 0 {
+			best = &gateways[i]
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	c.state(best.Address).calls++
+	return best.Address, true
+}
+
+func (c *Carrier) compare(dataCentre string, a, b Gateway) int {
+	far := func(g Gateway) int {
+		if g.DataCentre == dataCentre {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(far(a), far(b)), cmp.Compare(c.state(a.Address).calls, c.state(b.Address).calls))
+}
+
+// state of a gateway; the caller holds the lock.
+func (c *Carrier) state(address string) *carrying {
+	if c.gateways[address] == nil {
+		c.gateways[address] = c.fresh(address)
+	}
+	return c.gateways[address]
+}
+
+func (c *Carrier) fresh(address string) *carrying {
+	client := c.config.HTTP()
+	return &carrying{
+		http:   client,
+		client: toucanhingev1connect.NewCarryServiceClient(client, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)),
+	}
+}
+
+func (c *Carrier) leave(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state(address).calls--
+}
+
+// accuse passes a gateway over for a while, and forgets the connection to it, which
+// may be silent for good.
+func (c *Carrier) accuse(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.state(address)
+	renewed := c.fresh(address)
+	renewed.calls, renewed.suspect = old.calls, time.Now().Add(suspectTime)
+	c.gateways[address] = renewed
+	old.http.CloseIdleConnections()
+}
+
+func (c *Carrier) client(address string) toucanhingev1connect.CarryServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state(address).client
+}
+
+// carry lets one gateway call the runner.
+func (c *Carrier) carry(ctx context.Context, address string, call runner.Call) (*runner.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	b := &body{cancel: cancel, leave: func() { c.leave(address) }, runner: call.Runner.GetId()}
+	late := time.AfterFunc(takeTime, cancel)
+	stream, err := c.client(address).Carry(ctx, connect.NewRequest(c.request(call)))
+	taken := err == nil && stream.Receive()
+	inTime := late.Stop()
+	b.stream = stream
+	if !taken || !inTime {
+		if err == nil {
+			err = stream.Err()
+		}
+		_ = b.Close()
+		c.accuse(address)
+		return nil, errors.WithMessage(errNotTaken, errorText(err))
+	}
+	head, err := b.head()
+	if err != nil {
+		_ = b.Close()
+		return nil, err
+	}
+	answer := &runner.Answer{
+		Status: int(head.GetStatus()), Header: http.Header{}, Length: -1, NotRun: head.GetNotRun(), Other: head.GetOther(), Body: b,
+	}
+	if head.Running != nil {
+		answer.Held = &runner.Held{Running: int(head.GetRunning()), Waiting: int(head.GetWaiting())}
+	}
+	return answer, nil
+}
+
+func (c *Carrier) request(call runner.Call) *toucanhingev1.CarryRequest {
+	m := &toucanhingev1.CarryRequest{
+		Source: c.config.Source, Runner: call.Runner, Request: call.Request, Method: call.Method, Target: call.Target,
+		Host: call.Host, Body: call.Body,
+	}
+	for name, values := range call.Header {
+		for _, value := range values {
+			m.Headers = append(m.Headers, &toucanhingev1.HeaderField{Name: name, Value: value})
+		}
+	}
+	if call.Resume {
+		m.After = &call.After
+	}
+	return m
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "too late"
+	}
+	return err.Error()
+}
--- a/control/pkg/core/core.go
+++ b/control/pkg/core/core.go
@@ -20,7 +20,9 @@
 	"toucanhinge.example/common/pkg/digest"
 	"toucanhinge.example/common/pkg/logs"
 	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/common/pkg/web"
 	"toucanhinge.example/control/pkg/batchrun"
+	"toucanhinge.example/control/pkg/carrier"
 	"toucanhinge.example/control/pkg/replica"
 	"toucanhinge.example/control/pkg/systemstate"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
@@ -102,8 +104,11 @@
 	c.machine = systemstate.NewMachine(systemstate.MachineConfig{
 		Folder: filepath.Join(folder, "state"), Fatal: config.Fatal, Notify: c.notify,
 	})
+	calls := carrier.New(carrier.Config{
+		Source: config.Name, Gateways: c.fleet.carriers, Direct: config.Runners, HTTP: web.NewClient, Logger: config.Logger,
+	}).Calls()
 	c.driver = batchrun.New(batchrun.Config{
-		Machine: c.machine, Propose: c.propose, Client: config.Runners, Exchange: config.Exchange,
+		Machine: c.machine, Propose: c.propose, Client: calls, Exchange: config.Exchange,
 		Runners: c.fleet.list, DataCentre: config.DataCentre, Clock: config.Clock, Logger: config.Logger,
 		Metrics: batchrun.NewMetrics(config.Registerer),
 	})
--- a/control/pkg/core/fleet.go
+++ b/control/pkg/core/fleet.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/control/pkg/carrier"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
@@ -32,8 +33,9 @@
 }
 
 type gateway struct {
-	address string
-	heard   clock.Millis
+	address    string
+	dataCentre string
+	heard      clock.Millis
 }
 
 type announced struct {
@@ -88,12 +90,13 @@
 }
 
 // attend notes a gateway.
-func (f *fleet) attend(now clock.Millis, name, address string) {
+func (f *fleet) attend(now clock.Millis, name string, g gateway) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before, known := f.gateways[name]
-	f.gateways[name] = gateway{address: address, heard: now}
-	if !known || before.address != address {
+	g.heard = now
+	f.gateways[name] = g
+	if !known || before.address != g.address {
 		f.bump()
 	}
 }
@@ -147,6 +150,17 @@
 	return v
 }
 
+// carriers lists the gateways for calls of items.
+func (f *fleet) carriers() []carrier.Gateway {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var gateways []carrier.Gateway
+	for _, g := range f.gateways {
+		gateways = append(gateways, carrier.Gateway{Address: g.address, DataCentre: g.dataCentre})
+	}
+	return gateways
+}
+
 // digestAddresses lists where the gateways take load digests.
 func (f *fleet) digestAddresses() []string {
 	f.mu.Lock()
--- a/control/pkg/core/service.go
+++ b/control/pkg/core/service.go
@@ -32,7 +32,7 @@
 		return nil, err
 	}
 	m := r.Msg
-	c.fleet.attend(c.config.Clock.Now(), m.GetName(), m.GetDigestAddress())
+	c.fleet.attend(c.config.Clock.Now(), m.GetName(), gateway{address: m.GetDigestAddress(), dataCentre: m.GetDataCentre()})
 	timer := time.NewTimer(wait(m.GetWaitMs()))
 	defer timer.Stop()
 	for {
--- /dev/null
+++ b/gateway/pkg/carry/server_test.go
@@ -0,0 +1,192 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/common/pkg/web"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+	"toucanhinge.example/schema/gen/toucanhinge/v1/toucanhingev1connect"
+)
+
+var errWire = errors.New("connection reset")
+
+// fixture is a server before a scripted runner.
+type fixture struct {
+	server  *Server
+	calls   toucanhingev1connect.CarryServiceClient
+	overdue atomic.Bool
+	// ended is closed when the runner sees its call broken off.
+	ended chan struct{}
+}
+
+func start(t *testing.T, open func(ctx context.Context, call runner.Call) (*runner.Answer, error)) *fixture {
+	t.Helper()
+	f := &fixture{ended: make(chan struct{})}
+	f.server = New(Config{
+		Client: runner.Client{Open: func(ctx context.Context, call runner.Call) (*runner.Answer, error) {
+			context.AfterFunc(ctx, func() { close(f.ended) })
+			return open(ctx, call)
+		}},
+		Overdue: func(string, clock.Millis) bool { return f.overdue.Load() },
+		Clock:   clock.System(), Logger: log.NewNopLogger(),
+	})
+	mux := http.NewServeMux()
+	mux.Handle(toucanhingev1connect.NewCarryServiceHandler(f.server))
+	listener, err := web.Listen("127.0.0.1:0", mux)
+	require.NoError(t, err)
+	go func() { _ = listener.Serve() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.server.Run(ctx)
+	f.calls = toucanhingev1connect.NewCarryServiceClient(web.NewClient(), "http://"+listener.Address())
+	t.Cleanup(func() {
+		cancel()
+		over, done := context.WithCancel(context.Background())
+		done()
+		_ = listener.Shutdown(over)
+	})
+	return f
+}
+
+// carried is what came of a call.
+type carried struct {
+	head *toucanhingev1.CarryHead
+	text string
+	end  *toucanhingev1.CarryEnd
+	err  error
+}
+
+func (f *fixture) carry(request *toucanhingev1.CarryRequest) (c carried) {
+	stream, err := f.calls.Carry(context.Background(), connect.NewRequest(request))
+	if err != nil {
+		return carried{err: err}
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		switch frame := stream.Msg().GetFrame().(type) {
+		case *toucanhingev1.CarryFrame_Head:
+			c.head = frame.Head
+		case *toucanhingev1.CarryFrame_Data:
+			c.text += string(frame.Data)
+		case *toucanhingev1.CarryFrame_End:
+			c.end = frame.End
+		}
+	}
+	c.err = stream.Err()
+	return c
+}
+
+func answerOf(body io.Reader) *runner.Answer {
+	return &runner.Answer{Status: http.StatusOK, Held: &runner.Held{Running: 3, Waiting: 1}, Body: io.NopCloser(body)}
+}
+
+func TestACallIsPassedOnAsItIs(t *testing.T) {
+	var got runner.Call
+	f := start(t, func(_ context.Context, call runner.Call) (*runner.Answer, error) {
+		got = call
+		return answerOf(strings.NewReader("id: 8\ndata: x\n\n")), nil
+	})
+	after := uint64(7)
+	c := f.carry(&toucanhingev1.CarryRequest{
+		Source: "leader", Runner: &toucanhingev1.Runner{Id: "r"}, Request: "q", Method: http.MethodPost, Target: "/a?b", Host: "h",
+		Headers: []*toucanhingev1.HeaderField{{Name: "X-Model", Value: "m"}}, Body: []byte("body"), After: &after,
+	})
+	require.NoError(t, c.err)
+	require.Equal(t, "r", got.Runner.GetId())
+	got.Runner = nil
+	require.Equal(t, runner.Call{
+		Request: "q", Method: http.MethodPost, Target: "/a?b", Host: "h", Header: http.Header{"X-Model": {"m"}},
+		Body: []byte("body"), Resume: true, After: 7,
+	}, got)
+	require.Equal(t, "id: 8\ndata: x\n\n", c.text)
+	require.EqualValues(t, http.StatusOK, c.head.GetStatus())
+	require.EqualValues(t, 3, c.head.GetRunning())
+	require.Empty(t, c.end.GetFailure())
+}
+
+// Whatever a runner does, the one that asked learns whether its request may have run,
+// and takes no cut answer for a whole one.
+func TestFaultsOfRunners(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		answer  *runner.Answer
+		err     error
+		notSent bool
+	}{
+		{"unreachable", nil, &runner.NotSentError{Runner: "r", Err: errWire}, true},
+		{"broken before the head", nil, &runner.BrokenError{Runner: "r", Err: errWire}, false},
+		{"broken in the body", answerOf(io.MultiReader(strings.NewReader("id"), failing{})), nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t, func(context.Context, runner.Call) (*runner.Answer, error) { return c.answer, c.err })
+			got := f.carry(&toucanhingev1.CarryRequest{Source: "leader"})
+			require.NoError(t, got.err)
+			require.NotEmpty(t, got.end.GetFailure())
+			require.Equal(t, c.notSent, got.end.GetNotSent())
+		})
+	}
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, errWire }
+
+// hanging is a runner that goes on for ever, and notices when its connection closes.
+func hanging(ctx context.Context, _ runner.Call) (*runner.Answer, error) {
+	source, sink := io.Pipe()
+	context.AfterFunc(ctx, func() { _ = sink.CloseWithError(ctx.Err()) })
+	return answerOf(source), nil
+}
+
+// The leader's VM loses power while a gateway carries its item. The connection stays
+// open and nothing comes on it, as on a quiet day; only the digests are missing. The
+// gateway closes the call's connection, so that the runner's place is free.
+func TestTheCallOfASilentDaemonIsEnded(t *testing.T) {
+	f := start(t, hanging)
+	go f.carry(&toucanhingev1.CarryRequest{Source: "leader"})
+	select {
+	case <-f.ended:
+		t.Fatal("ended while the leader is there")
+	case <-time.After(5 * lookEvery):
+	}
+	f.overdue.Store(true)
+	select {
+	case <-f.ended:
+	case <-time.After(time.Second):
+		t.Fatal("the runner goes on")
+	}
+}
+
+// The gateway is stopped. The leader learns at once that its item must go on
+// elsewhere, and no new call is taken.
+func TestALeavingGatewayHandsItsCallsBack(t *testing.T) {
+	f := start(t, hanging)
+	ended := make(chan carried, 1)
+	go func() { ended <- f.carry(&toucanhingev1.CarryRequest{Source: "leader"}) }()
+	require.Eventually(t, func() bool {
+		f.server.mu.Lock()
+		defer f.server.mu.Unlock()
+		return len(f.server.calls) == 1
+	}, time.Second, time.Millisecond)
+	f.server.Leave()
+	select {
+	case c := <-ended:
+		require.NotEmpty(t, c.end.GetFailure())
+	case <-time.After(time.Second):
+		t.Fatal("the call goes on")
+	}
+	c := f.carry(&toucanhingev1.CarryRequest{Source: "leader"})
+	require.Equal(t, connect.CodeUnavailable, connect.CodeOf(c.err))
+}
--- a/gateway/pkg/core/follower.go
+++ b/gateway/pkg/core/follower.go
@@ -35,6 +35,7 @@
 type Config struct {
 	Name          string
 	DigestAddress string
+	DataCentre    string
 	// Core calls the leader, wherever it is.
 	Core   *control.Client
 	Logger log.Logger
@@ -86,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
 	answer, err := leader.Core.Attend(ctx, connect.NewRequest(&toucanhingev1.AttendRequest{
-		Name: f.config.Name, DigestAddress: f.config.DigestAddress, HaveVersion: f.version, HaveFleet: f.fleet,
+		Name: f.config.Name, DigestAddress: f.config.DigestAddress, DataCentre: f.config.DataCentre, HaveVersion: f.version, HaveFleet: f.fleet,
 		WaitMs: uint32(waitTime.Milliseconds()),
 	}))
 	if err != nil {
