Start all three programs by one piece of code

The three main files differed in one line of text. Package program reads the command line and the settings and turns errors into exit codes, which had no test; TestExitCodes has them in a table. Behaviour is unchanged.

--- a/control/main.go
+++ b/control/main.go
@@ -3,39 +3,15 @@
 package main
 
 import (
-	"fmt"
-	"os"
-
-	"github.com/alexflint/go-arg"
-
+	"toucanhinge.example/common/pkg/program"
 	"toucanhinge.example/control/pkg/app"
 	"toucanhinge.example/control/pkg/config"
 )
 
-type arguments struct {
-	Settings string `arg:"--settings,required" help:"path of the TOML settings" placeholder:"FILE"`
-	Check    bool   `arg:"--check" help:"check the settings, then stop"`
-}
-
-// Description is shown by --help.
-func (arguments) Description() string {
-	return "control: the durable state of toucanhinge on a control VM"
-}
-
 func main() {
-	var args arguments
-	arg.MustParse(&args)
-	settings, err := config.Load(args.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-	if args.Check {
-		fmt.Println("settings are valid")
-		return
-	}
-	if err := app.Run(settings); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	program.Program[config.Config]{
+		Description: "control: the durable state of toucanhinge on a control VM",
+		Load:        config.Load,
+		Run:         app.Run,
+	}.Main()
 }
