Let tests wait until every group has a leader

Cause: each group elects by itself. A test that waited for group 0 only sent its first call to group 1 too early on a busy machine (TestUploadFaults failed 4 of 8 processes at once before its own wait). newCluster now waits for all groups, so no test can start before, and the wait inside that one test goes.

Ruled out: a longer patience of the tests; the call isn't repeated, so it wouldn't help.

--- a/control/pkg/app/contract_test.go
+++ b/control/pkg/app/contract_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
@@ -43,8 +42,6 @@
 func TestUploadFaults(t *testing.T) {
 	c := newCluster(t, 1, func(s *config.Config) { s.Jobs.MostItems, s.Jobs.ItemBytes = 3, 100 })
 	c.contract()
-	// Each group elects by itself: the contract waited for group 0 only.
-	require.Eventually(t, func() bool { return c.leader(1) != nil }, 10*time.Second, 10*time.Millisecond)
 	good := item("a", `{}`)
 	scenarios := []struct {
 		name   string
--- a/control/pkg/app/node_test.go
+++ b/control/pkg/app/node_test.go
@@ -67,6 +67,11 @@
 		addresses = append(addresses, p.Address)
 	}
 	c.client = control.New(control.Config{Addresses: addresses, HTTP: web.NewClient()})
+	// Each group elects by itself. A test that waited for one of them only sent its
+	// first call to another one too early, on a busy machine.
+	for id := range c.nodes[0].settings.Groups {
+		require.Eventually(t, func() bool { return c.leader(id) != nil }, patience, glance, "group %d has no leader", id)
+	}
 	t.Cleanup(func() {
 		var all sync.WaitGroup
 		for _, n := range c.nodes {
