--- a/common/pkg/program/program.go
+++ b/common/pkg/program/program.go
@@ -47,15 +47,15 @@
 func (p Program[S]) run(args arguments, out, failures io.Writer) (code int) {
 	settings, err := p.Load(args.Settings)
 	if err != nil {
-		fmt.Fprintln(failures, err)
+		fmt.Fprintf(failures, "%v\n", err)
 		return exitSettings
 	}
 	if args.Check {
-		fmt.Fprintln(out, "settings are valid")
+		fmt.Fprintf(out, "settings are valid\n")
 		return 0
 	}
 	if err := p.Run(settings); err != nil {
-		fmt.Fprintln(failures, err)
+		fmt.Fprintf(failures, "%v\n", err)
 		return exitFailed
 	}
 	return 0
