Count a daemon's silence by the intervals that it promised

Cause: a gateway that carries calls took a leader that it hadn't heard since the call's begin to be gone after 300 ms, whatever interval the leader promised. With more than 16 gateways intervals grow (300 ms with 100), and a new leader's first digest may be lost; then items would be broken off and resumed again and again. Found by reading.

TestOverdue: two of its rows failed before.

--- a/common/pkg/occupancy/table.go
+++ b/common/pkg/occupancy/table.go
@@ -25,7 +25,8 @@
 	BatchEvery clock.Millis = 50
 	// overdueAfter is the number of intervals without a digest after which a daemon
 	// is taken to be gone. Datagrams are lost now and then, and a slow VM sends late;
-	// a leader that is gone is replaced after 300 ms at the earliest.
+	// a leader that is gone is replaced after 300 ms at the earliest. Large fleets have
+	// longer intervals, which the daemon promises itself.
 	overdueAfter = 6
 )
 
@@ -133,14 +134,15 @@
 	}
 }
 
-// Overdue says whether a daemon has kept silent for longer than it promised, or, if
-// it never told anything, since a moment.
+// Overdue says whether a daemon has kept silent for longer than it promised, since a
+// moment or since it told something last. One that never told anything has as long as
+// any daemon's counts last.
 func (t *Table) Overdue(now clock.Millis, daemon string, since clock.Millis) bool {
 	s := t.sources[daemon]
-	if s == nil || s.heard < since {
-		return now-since > overdueAfter*BatchEvery
+	if s == nil {
+		return now-since > Expiry
 	}
-	return s.next > 0 && now-s.heard > overdueAfter*s.next
+	return now-max(s.heard, since) > overdueAfter*max(s.next, BatchEvery)
 }
 
 // Expire drops the work of daemons that fell silent. Their last counts stay
