--- a/lab/pkg/replay/config.go
+++ b/lab/pkg/replay/config.go
@@ -50,6 +50,8 @@
 	Yield bool
 	// FirstCome starts items in the order of arrival in place of urgency.
 	FirstCome bool
+	// Outage is when no gateway takes requests.
+	Outage Outage
 	// Loss is when the daemon that runs the items vanishes.
 	Loss Loss
 	Seed uint64
@@ -61,6 +63,13 @@
 	Due clock.Millis
 }
 
+// Outage is a span in which no gateway takes requests. Callers notice after ComeBack
+// and come back once.
+type Outage struct {
+	From, Until clock.Millis
+	ComeBack    clock.Millis
+}
+
 // Result is what callers and desks got.
 type Result struct {
 	InTime  int
@@ -68,11 +77,22 @@
 	Refused int
 	// Waits of the requests that were served, sorted, from their first arrival.
 	Waits       []clock.Millis
+	// Worth is what the requests are worth to the desks together: 1 in time, lateWorth
+	// late, the mean of both for one that was turned away at once and then in time.
+	Worth       float64
 	ItemsInTime int
 	ItemsLate   int
 	Pauses      int
 }
 
+// lateWorth is what a late answer is worth on the sheets, in parts of one in time.
+const lateWorth = 0.15
+
+// MeanWorth is the mean over all requests.
+func (r Result) MeanWorth() float64 {
+	return r.Worth / float64(max(r.InTime+r.Late+r.Refused, 1))
+}
+
 // Share is the part of the requests that was served in time.
 func (r Result) Share() float64 {
 	return float64(r.InTime) / float64(max(r.InTime+r.Late+r.Refused, 1))
--- a/lab/pkg/replay/play.go
+++ b/lab/pkg/replay/play.go
@@ -12,6 +12,23 @@
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
+// meet lets a new request reach a gateway, if any is there.
+func (w *world) meet(r *request) {
+	outage := w.config.Outage
+	if r.arrived < outage.From || r.arrived >= outage.Until {
+		w.arrive(r)
+		return
+	}
+	r.arrived += outage.ComeBack
+	r.again, r.lost = true, true
+	if r.arrived < outage.Until {
+		w.result.Refused++
+		return
+	}
+	w.returns = append(w.returns, r)
+	slices.SortFunc(w.returns, func(a, b *request) int { return cmp.Compare(a.arrived, b.arrived) })
+}
+
 // arrive takes a request at some gateway, as the platform's balancer does.
 func (w *world) arrive(r *request) {
 	r.gateway = w.random.IntN(len(w.gateways))
--- a/lab/pkg/replay/replay_test.go
+++ b/lab/pkg/replay/replay_test.go
@@ -148,6 +148,24 @@
 	require.Greater(t, told, blind+0.008)
 }
 
+// No gateway takes requests for 1.4 s as a burst begins, and those who met that come
+// back while the burst goes on. They are late whatever happens; queued in the order of
+// arrival they would make the others late as well.
+func TestAfterAnOutage(t *testing.T) {
+	outage := func(admit bool) func(*Config) {
+		return func(c *Config) {
+			c.Admit = admit
+			c.Items = Steady(c.Seed, 33_000, 6.8, 18_000)
+			c.Outage = Outage{From: 17_300, Until: 18_700, ComeBack: 1_100}
+		}
+	}
+	worth := func(r Result) float64 { return r.MeanWorth() }
+	admitted, queued := mean(outage(true), worth), mean(outage(false), worth)
+	t.Logf("worth: %.3f with admission, %.3f queued; served: %.3f, %.3f", admitted, queued, mean(outage(true), served), mean(outage(false), served))
+	require.Greater(t, admitted, queued)
+	require.Greater(t, mean(outage(true), served), 0.97)
+}
+
 func TestARunSaysTheSameForTheSameSeed(t *testing.T) {
 	require.Equal(t, Run(sheet(7)), Run(sheet(7)))
 }
--- a/lab/pkg/replay/world.go
+++ b/lab/pkg/replay/world.go
@@ -20,6 +20,8 @@
 	arrived clock.Millis
 	ends    clock.Millis
 	again   bool
+	// lost says that its first attempt met an outage: it is late whatever happens.
+	lost    bool
 	gateway int
 }
 
@@ -93,7 +95,7 @@
 		w.lose()
 		w.finish()
 		for len(arrivals) > 0 && arrivals[0] <= w.now {
-			w.arrive(&request{first: w.now, arrived: w.now, ends: w.now + config.Patience})
+			w.meet(&request{first: w.now, arrived: w.now, ends: w.now + config.Patience})
 			arrivals = arrivals[1:]
 		}
 		for len(items) > 0 && items[0].At <= w.now {
@@ -242,9 +244,18 @@
 	w.tellHeld(runner, w.gateways[t.request.gateway])
 	wait := w.now - t.request.arrived
 	w.result.Waits = append(w.result.Waits, w.now-t.request.first)
-	if wait <= w.config.Objective {
-		w.result.InTime++
-	} else {
+	if wait > w.config.Objective {
 		w.result.Late++
+		w.result.Worth += lateWorth
+		return
+	}
+	w.result.InTime++
+	switch {
+	case t.request.lost:
+		w.result.Worth += lateWorth
+	case t.request.again:
+		w.result.Worth += (1 + lateWorth) / 2
+	default:
+		w.result.Worth++
 	}
 }
