--- a/lab/pkg/replay/config.go
+++ b/lab/pkg/replay/config.go
@@ -76,7 +76,7 @@
 	Late    int
 	Refused int
 	// Waits of the requests that were served, sorted, from their first arrival.
-	Waits       []clock.Millis
+	Waits []clock.Millis
 	// Worth is what the requests are worth to the desks together: 1 in time, lateWorth
 	// late, the mean of both for one that was turned away at once and then in time.
 	Worth       float64
