--- a/control/pkg/carrier/carrier.go
+++ b/control/pkg/carrier/carrier.go
@@ -17,6 +17,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"toucanhinge.example/common/pkg/logs"
 	"toucanhinge.example/common/pkg/runner"
@@ -55,11 +57,15 @@
 	// HTTP makes a client for one gateway.
 	HTTP   func() *http.Client
 	Logger log.Logger
+	// Registerer takes the counters.
+	Registerer prometheus.Registerer
 }
 
 // Carrier calls runners through gateways.
 type Carrier struct {
 	config Config
+	// calls counts who made the calls.
+	calls *prometheus.CounterVec
 
 	mu       sync.Mutex
 	gateways map[string]*carrying
@@ -75,7 +81,12 @@
 
 // New makes a carrier.
 func New(config Config) *Carrier {
-	return &Carrier{config: config, gateways: map[string]*carrying{}}
+	return &Carrier{
+		config: config, gateways: map[string]*carrying{},
+		calls: promauto.With(config.Registerer).NewCounterVec(prometheus.CounterOpts{
+			Name: "toucanhinge_items_carried_total", Help: "Items' calls by who made them, and those that a gateway didn't take.",
+		}, []string{"by"}),
+	}
 }
 
 // Calls is the carrier as a client of runners.
@@ -89,10 +100,13 @@
 		}
 		answer, err := c.carry(ctx, address, call)
 		if !errors.Is(err, errNotTaken) || ctx.Err() != nil {
+			c.calls.WithLabelValues("gateway").Inc()
 			return answer, err
 		}
+		c.calls.WithLabelValues("not-taken").Inc()
 		level.Info(c.config.Logger).Log(logs.KeyEvent, "call-not-taken", "gateway", address, logs.KeyRequest, call.Request, logs.KeyError, err)
 	}
+	c.calls.WithLabelValues("self").Inc()
 	return c.config.Direct.Open(ctx, call)
 }
 
--- a/control/pkg/carrier/carrier_test.go
+++ b/control/pkg/carrier/carrier_test.go
@@ -11,6 +11,8 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"toucanhinge.example/common/pkg/runner"
@@ -94,7 +96,7 @@
 
 func carrierOf(gateways ...Gateway) *Carrier {
 	return New(Config{
-		Source: "leader", Gateways: func() []Gateway { return gateways }, HTTP: web.NewClient, Logger: log.NewNopLogger(),
+		Source: "leader", Gateways: func() []Gateway { return gateways }, HTTP: web.NewClient, Logger: log.NewNopLogger(), Registerer: prometheus.NewRegistry(),
 		Direct: runner.Client{Open: func(context.Context, runner.Call) (*runner.Answer, error) { return nil, errDirect }},
 	})
 }
@@ -173,6 +175,7 @@
 		require.NoError(t, answer.Body.Close())
 		require.Less(t, time.Since(began), 2*takeTime+time.Second)
 	}
+	require.InDelta(t, 1, testutil.ToFloat64(c.calls.WithLabelValues("not-taken")), 0)
 	require.Equal(t, 1, silent.count())
 	require.Equal(t, 3, sound.count())
 }
--- a/control/pkg/core/core.go
+++ b/control/pkg/core/core.go
@@ -106,6 +106,7 @@
 	})
 	calls := carrier.New(carrier.Config{
 		Source: config.Name, Gateways: c.fleet.carriers, Direct: config.Runners, HTTP: web.NewClient, Logger: config.Logger,
+		Registerer: config.Registerer,
 	}).Calls()
 	c.driver = batchrun.New(batchrun.Config{
 		Machine: c.machine, Propose: c.propose, Client: calls, Exchange: config.Exchange,
--- a/gateway/pkg/carry/server.go
+++ b/gateway/pkg/carry/server.go
@@ -18,6 +18,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/logs"
@@ -37,6 +39,12 @@
 	readBytes = 4 << 10
 )
 
+// Reasons for which calls are ended here.
+const (
+	reasonSilent  = "daemon-silent"
+	reasonLeaving = "leaving"
+)
+
 var (
 	errLeaving = errors.New("this gateway is leaving")
 	errGone    = errors.New("the daemon that asked is gone")
@@ -50,11 +58,15 @@
 	Overdue func(daemon string, since clock.Millis) bool
 	Clock   clock.Clock
 	Logger  log.Logger
+	// Registerer takes the counters.
+	Registerer prometheus.Registerer
 }
 
 // Server carries calls.
 type Server struct {
 	config Config
+	// ended counts the calls that were ended here, by reason.
+	ended *prometheus.CounterVec
 
 	mu      sync.Mutex
 	leaving bool
@@ -72,7 +84,12 @@
 
 // New makes a server without calls.
 func New(config Config) *Server {
-	return &Server{config: config, calls: map[*call]bool{}}
+	return &Server{
+		config: config, calls: map[*call]bool{},
+		ended: promauto.With(config.Registerer).NewCounterVec(prometheus.CounterOpts{
+			Name: "toucanhinge_carried_calls_ended_total", Help: "Items' calls that this gateway ended early, by reason.",
+		}, []string{"reason"}),
+	}
 }
 
 // Run ends the calls of daemons that fell silent, until the context ends.
@@ -101,7 +118,8 @@
 		}
 	}
 	for source, calls := range ended {
-		level.Warn(s.config.Logger).Log(logs.KeyEvent, "carried-calls-ended", "for", source, "calls", calls, "reason", "daemon-silent")
+		s.ended.WithLabelValues(reasonSilent).Add(float64(calls))
+		level.Warn(s.config.Logger).Log(logs.KeyEvent, "carried-calls-ended", "for", source, "calls", calls, "reason", reasonSilent)
 	}
 }
 
@@ -114,6 +132,7 @@
 	for c := range s.calls {
 		c.cancel(errLeaving)
 		delete(s.calls, c)
+		s.ended.WithLabelValues(reasonLeaving).Inc()
 	}
 }
 
--- a/gateway/pkg/carry/server_test.go
+++ b/gateway/pkg/carry/server_test.go
@@ -12,6 +12,8 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"toucanhinge.example/common/pkg/clock"
@@ -41,7 +43,7 @@
 			return open(ctx, call)
 		}},
 		Overdue: func(string, clock.Millis) bool { return f.overdue.Load() },
-		Clock:   clock.System(), Logger: log.NewNopLogger(),
+		Clock:   clock.System(), Logger: log.NewNopLogger(), Registerer: prometheus.NewRegistry(),
 	})
 	mux := http.NewServeMux()
 	mux.Handle(toucanhingev1connect.NewCarryServiceHandler(f.server))
@@ -167,6 +169,7 @@
 	case <-time.After(time.Second):
 		t.Fatal("the runner goes on")
 	}
+	require.InDelta(t, 1, testutil.ToFloat64(f.server.ended.WithLabelValues(reasonSilent)), 0)
 }
 
 // The gateway is stopped. The leader learns at once that its item must go on
