Let callers who came back wait for a gateway's routes

Cause: a gateway that has just started refused everybody with 503.

Who came back waits for half of its time at most, 1.5 s at the longest; a new request waits 60 ms and is then told when to come back, as before. Ruled out: letting new ones wait as well; they are early at their second attempt, and late here.

--- a/gateway/pkg/admission/admission.go
+++ b/gateway/pkg/admission/admission.go
@@ -105,6 +105,25 @@
 	}
 }
 
+// startWait and longestStartWait bound the wait at a gateway that doesn't know its
+// routes yet. Most gateways know them 50 ms after they start. If all machines have
+// lost power it takes the core's election, half a second or more: a new request is then
+// told when to come back, and is early at its second attempt; one that came back would
+// be lost for good, since callers come back only once.
+const (
+	startWait        clock.Millis = 60
+	longestStartWait clock.Millis = 1_500
+)
+
+// StartWait is how long a request waits at a gateway that doesn't know its routes yet.
+// Patience is a span, 0 if the caller doesn't tell it.
+func StartWait(patience clock.Millis, returned bool) clock.Millis {
+	if !returned {
+		return startWait
+	}
+	return min(patience/waitPart, longestStartWait)
+}
+
 // RetryAfter tells a refused caller when to come back: not before a place may be
 // free, and spread, so that those who were refused together don't return
 // together. Draw is from 0 to below 1.
--- a/gateway/pkg/admission/admission_test.go
+++ b/gateway/pkg/admission/admission_test.go
@@ -114,3 +114,21 @@
 	}
 	require.False(t, r.First(late))
 }
+
+func TestStartWait(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		patience clock.Millis
+		returned bool
+		want     clock.Millis
+	}{
+		{"new: until it may still be early elsewhere", 5_000, false, 60},
+		{"new, and doesn't tell its patience", 0, false, 60},
+		{"came back: half of its time", 2_000, true, 1_000},
+		{"came back with much time: as long as an election takes", 60_000, true, 1_500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, StartWait(c.patience, c.returned))
+		})
+	}
+}
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -44,6 +44,9 @@
 	leaving atomic.Bool
 	// fleetKnown says that the runners have been told once.
 	fleetKnown atomic.Bool
+	// begun is closed when requests can be served for the first time.
+	begun     chan struct{}
+	beginOnce sync.Once
 
 	mu       sync.Mutex
 	places   *place.Machine
@@ -67,7 +70,7 @@
 	factory := promauto.With(config.Registerer)
 	return &Server{
 		config: config, places: place.New(place.Config{DataCentre: config.DataCentre}),
-		patience: admission.NewPatience(), freed: make(chan struct{}),
+		patience: admission.NewPatience(), freed: make(chan struct{}), begun: make(chan struct{}),
 		metrics: &metrics{
 			requests: factory.NewCounterVec(prometheus.CounterOpts{
 				Name: "toucanhinge_requests_total", Help: "Online requests by outcome.",
@@ -98,6 +101,7 @@
 		}
 		if s.table.CompareAndSwap(present, table) {
 			level.Info(s.config.Logger).Log(logs.KeyEvent, "table-in-force", "version", table.Version)
+			s.begin()
 			return
 		}
 	}
@@ -121,6 +125,29 @@
 	s.places.SetRunners(runners)
 	s.gateways = gateways
 	s.fleetKnown.Store(true)
+	s.begin()
+}
+
+func (s *Server) begin() {
+	if s.Ready() {
+		s.beginOnce.Do(func() { close(s.begun) })
+	}
+}
+
+// AwaitReady waits until requests can be served, for as long as is good for a caller
+// of this patience, a span.
+func (s *Server) AwaitReady(ctx context.Context, patience clock.Millis) {
+	s.mu.Lock()
+	// Without a table all callers count as those of one route.
+	returned := s.patience.Returned("", patience)
+	s.mu.Unlock()
+	timer := time.NewTimer(admission.StartWait(patience, returned).Duration())
+	defer timer.Stop()
+	select {
+	case <-s.begun:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // Ready says whether requests can be served: routes and runners are known. A
