--- a/common/pkg/digest/exchange.go
+++ b/common/pkg/digest/exchange.go
@@ -206,8 +206,8 @@
 	return occupancy.BatchEvery * clock.Millis(x.crowd())
 }
 
-// Overdue says whether a daemon has kept silent for longer than it promised, or, if
-// it never told anything, since a moment.
+// Overdue says whether a daemon has kept silent for longer than it promised, since a
+// moment or since it told something last.
 func (x *Exchange) Overdue(daemon string, since clock.Millis) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/common/pkg/occupancy/foreign.go
+++ b/common/pkg/occupancy/foreign.go
@@ -55,6 +55,21 @@
 	return 0
 }
 
+// prune drops findings that no longer count; runners come and go.
+func (t *Table) prune(now clock.Millis) {
+	if now-t.pruned < ForeignFor {
+		return
+	}
+	t.pruned = now
+	for _, findings := range []map[string]finding{t.foreign, t.ownForeign} {
+		for runner, f := range findings {
+			if !f.fresh(now) {
+				delete(findings, runner)
+			}
+		}
+	}
+}
+
 // learn takes over another daemon's finding, unless a newer one is known. Ages are
 // told in place of times, since clocks differ.
 func (t *Table) learn(now clock.Millis, l *toucanhingev1.RunnerLoad) {
--- a/common/pkg/occupancy/foreign_test.go
+++ b/common/pkg/occupancy/foreign_test.go
@@ -83,3 +83,13 @@
 	require.EqualValues(t, 0, table.Loads(now + 2)[0].GetForeign(), "its end is told too")
 	require.Empty(t, table.Loads(now+2+ForeignFor+1))
 }
+
+// Runners are replaced all the time, each with a new id.
+func TestFindingsOfRunnersThatAreGoneAreDropped(t *testing.T) {
+	table := New()
+	table.Observe(1, "gone", 8)
+	table.Expire(2 + ForeignFor)
+	table.Expire(2 + 2*ForeignFor)
+	require.Empty(t, table.foreign)
+	require.Empty(t, table.ownForeign)
+}
--- a/common/pkg/occupancy/table.go
+++ b/common/pkg/occupancy/table.go
@@ -52,6 +52,7 @@
 	// foreign is the newest finding of any daemon, ownForeign of this one.
 	foreign    map[string]finding
 	ownForeign map[string]finding
+	pruned     clock.Millis
 }
 
 type source struct {
@@ -148,6 +149,7 @@
 // Expire drops the work of daemons that fell silent. Their last counts stay
 // until then, since a datagram may be lost.
 func (t *Table) Expire(now clock.Millis) {
+	t.prune(now)
 	for name, s := range t.sources {
 		if len(s.loads) > 0 && now-s.heard > Expiry {
 			t.forget(s)
