Ask the engine no more once the sidecar stops

Cause: when the context ends at the moment of a tick, Go's select takes either, and the probe polled once more. In a whole run of the tests on, TestHealth waited for that poll's answer from 22:03 until it was ended at 22:11: its goroutines showed poll under Run after cancel. An engine that is asked after the end would hold up a stop as long as its call.

Ruled out: load; the order of select alone does it. Mended in the probe, not in the test.

Before and after: TestNoPollAfterTheEnd 1 poll, 0. The package's tests 200 times with -race, pass.

--- a/sidecar/pkg/probe/probe.go
+++ b/sidecar/pkg/probe/probe.go
@@ -86,6 +86,10 @@
 }
 
 func (p *Probe) poll(ctx context.Context) {
+	// A tick and the end may come together, and Go chooses either.
+	if ctx.Err() != nil {
+		return
+	}
 	report, err := p.config.Poll(ctx)
 	if ctx.Err() != nil {
 		return
--- a/sidecar/pkg/probe/probe_test.go
+++ b/sidecar/pkg/probe/probe_test.go
@@ -58,6 +58,21 @@
 	<-done
 }
 
+// The sidecar stops at the moment of a poll. It must not ask the engine once more: a
+// poll that nobody answers would hold up the stop, and did so in a test for ever.
+func TestNoPollAfterTheEnd(t *testing.T) {
+	polls := 0
+	p := New(Config{
+		Clock: clock.System(), Logger: log.NewNopLogger(), Period: time.Nanosecond, Failed: 3,
+		Poll:    func(context.Context) (Report, error) { polls++; return Report{}, nil },
+		Foreign: func(int) {}, Health: func(bool) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	p.Run(ctx)
+	require.Zero(t, polls)
+}
+
 // A call found nobody at the engine's port. It counts as unhealthy at once, long
 // before the next poll: until then, items would be leased and handed back in a
 // loop.
