Build the platform's programs into a folder of their own

Cause: make build linked gateway and control of the product and of the platform into bin/ under the same names; whichever was linked last stayed. make demo failed in an empty folder with 'type mismatch' in gateway-1's settings, since the platform's gateway read them; it had passed before by the order of linking.

Ruled out: the shared start of the programs, which only made one of them faster to link.

--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,12 @@
 setup:
 	@for m in $(MODULES) tools; do (cd $$m && go mod download) || exit 1; done
 
+# The platform's programs have the names of the product's, so they have a folder of
+# their own: built into one, whichever was linked last would stay.
 build:
-	@mkdir -p bin
-	go build -o bin/ work
+	@mkdir -p bin/platform
+	go build -o bin/ $(foreach m,$(filter-out platform,$(MODULES)),./$(m)/...)
+	go build -o bin/platform/ ./platform/cmd/... ./platform/soak
 
 # KNOWN-RED.txt, if there is one, names tests that fail for a known fault, one
 # a line as "test: cause, issue"; they are passed over and printed. Nothing is
