Take a full runner no longer for a silent one

Cause: a request that waits in the queue of a full runner hears nothing. In a large fleet its gateway seldom has a second call at the same runner (27 gateways, 54 runners, some ten calls a gateway), so after 150 ms it told all daemons that the runner was silent. All then kept away from it for up to a second, the others became full in turn, and more were told to be silent: 300 times in two seconds of a burst on a sound fleet. The core did the same for items.

Ruled out: lost digests (no daemon restarted there), slow runners (they streamed all the while), too small a processor share of the gateways (a quarter used).

Now the silence of a call without a first event proves nothing while more is under way at the runner than it has places, by the counts of all daemons. After the first event a silence is told as before. One type judges for gateways and for the core.

--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -11,7 +11,6 @@
 
 	"github.com/pkg/errors"
 
-	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/runner"
 	"toucanhinge.example/common/pkg/sse"
 	"toucanhinge.example/control/pkg/dispatch"
@@ -24,9 +23,6 @@
 	// elsewhere. Runners make an event every 20 ms, 80 when slow; one that says
 	// nothing for a second is dark, or cut off without a reset.
 	silence = time.Second
-	// quietAfter is the silence of a runner, over all items there, after which all
-	// daemons are told: online requests shouldn't be sent there either.
-	quietAfter clock.Millis = 150
 	// readBuffer holds a few events of some 100 bytes.
 	readBuffer = 2 << 10
 )
@@ -157,8 +153,8 @@
 	defer cancel()
 	watchdog := time.AfterFunc(silence, cancel)
 	defer watchdog.Stop()
-	quiet := time.AfterFunc(quietAfter.Duration(), func() { r.driver.tellSilent(r.target.GetId()) })
-	defer quiet.Stop()
+	quiet := r.driver.listen(r.target)
+	defer quiet.stop()
 	answer, err := r.driver.config.Client.Open(ctx, r.describe(item, host))
 	if err != nil {
 		var unsent *runner.NotSentError
@@ -176,8 +172,7 @@
 	}
 	return r.read(answer.Body, func() {
 		watchdog.Reset(silence)
-		quiet.Reset(quietAfter.Duration())
-		r.driver.hear(r.target.GetId())
+		quiet.heard()
 	})
 }
 
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -136,7 +136,7 @@
 	began := e.now()
 	silence := e.watch(cancel)
 	defer silence.stop()
-	quiet := e.listen(r.GetId())
+	quiet := e.listen(r)
 	defer quiet.stop()
 	answer, err := e.server.config.Client.Open(ctx, e.call(r))
 	if err != nil {
--- a/gateway/pkg/forward/quiet.go
+++ b/gateway/pkg/forward/quiet.go
@@ -8,36 +8,32 @@
 
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/occupancy"
 	"toucanhinge.example/gateway/pkg/place"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
-// quietAfter is the silence of a runner, over all calls to it, after which no more
-// requests are sent there if another one takes them. Events come every 20 ms, 80
-// from a slow runner. A request that may run once can't be taken back from a
-// runner that went dark: in one recorded day two such runners swallowed 12 of
-// them, for two to five seconds each, since every gateway found out by itself.
-const quietAfter clock.Millis = 150
-
 // quietTimer tells all daemons when a runner falls silent under a call.
 type quietTimer struct {
 	server *Server
-	runner string
+	runner *toucanhingev1.Runner
 
 	mu      sync.Mutex
 	timer   *time.Timer
+	silence occupancy.Silence
 	told    bool
 	stopped bool
 }
 
 // listen watches one call's runner. The first event may have to wait for a place.
-func (e *exchange) listen(id string) *quietTimer {
-	q := &quietTimer{server: e.server, runner: id}
+func (e *exchange) listen(r *toucanhingev1.Runner) *quietTimer {
+	q := &quietTimer{server: e.server, runner: r}
 	if !e.route.Streams() {
 		return q
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.timer = time.AfterFunc((e.wait + quietAfter).Duration(), q.check)
+	q.timer = time.AfterFunc((e.wait + occupancy.QuietAfter).Duration(), q.check)
 	return q
 }
 
@@ -49,29 +45,29 @@
 	if q.stopped {
 		return
 	}
-	quiet := false
 	now := q.server.config.Clock.Now()
-	q.server.learn(func(m *place.Machine) { quiet = m.Quiet(now, q.runner, quietAfter) })
-	if quiet && !q.told {
+	if q.silence.Proven(now, q.server.heardAt(q.runner.GetId()), q.server.queued(q.runner)) && !q.told {
 		q.told = true
-		q.server.config.Exchange.SetSilent(q.runner, true)
-		level.Info(q.server.config.Logger).Log(logs.KeyEvent, "runner-silent", "runner", q.runner, "for-ms", quietAfter)
+		q.server.config.Exchange.SetSilent(q.runner.GetId(), true)
+		level.Info(q.server.config.Logger).Log(logs.KeyEvent, "runner-silent", "runner", q.runner.GetId(),
+			"for-ms", occupancy.QuietAfter)
 	}
-	q.timer.Reset(quietAfter.Duration())
+	q.timer.Reset(occupancy.QueueCheck.Duration())
 }
 
 // heard notes an event.
 func (q *quietTimer) heard() {
 	now := q.server.config.Clock.Now()
-	q.server.learn(func(m *place.Machine) { m.Heard(now, q.runner) })
+	q.server.learn(func(m *place.Machine) { m.Heard(now, q.runner.GetId()) })
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.silence.Begun = true
 	if q.timer != nil {
-		q.timer.Reset(quietAfter.Duration())
+		q.timer.Reset(occupancy.QuietAfter.Duration())
 	}
 	if q.told {
 		q.told = false
-		q.server.config.Exchange.SetSilent(q.runner, false)
+		q.server.config.Exchange.SetSilent(q.runner.GetId(), false)
 	}
 }
 
@@ -83,3 +79,16 @@
 		q.timer.Stop()
 	}
 }
+
+// heardAt is when anything came from a runner last, over all calls.
+func (s *Server) heardAt(id string) (at clock.Millis) {
+	s.learn(func(m *place.Machine) { at = m.HeardAt(id) })
+	return at
+}
+
+// queued says whether more is under way at a runner than it has places.
+func (s *Server) queued(r *toucanhingev1.Runner) (queued bool) {
+	now := s.config.Clock.Now()
+	s.config.Exchange.View(func(t *occupancy.Table) { queued = t.Queued(now, r.GetId(), int(r.GetSlots())) })
+	return queued
+}
--- a/gateway/pkg/forward/server_test.go
+++ b/gateway/pkg/forward/server_test.go
@@ -298,6 +298,36 @@
 	require.Len(t, f.sent(), 1)
 }
 
+// In a burst a request waits in the queue of a full runner, and its gateway has no other
+// call there. The runner works; told to be silent, it would get no more work from any
+// gateway, and the others would be full in turn.
+func TestAFullRunnerIsNotToldToBeSilent(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		held   int
+		silent bool
+	}{
+		{"full", 2, false},
+		{"a place was free", 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t, reply{silent: true})
+			for _, id := range []string{"a", "b", "c"} {
+				f.server.config.Exchange.Add(id, occupancy.Load{Online: c.held})
+			}
+			for range 100 {
+				f.server.learn(func(m *place.Machine) { m.Held("llm", 100) })
+			}
+			_, _, _, err := f.get("/stream/", 400)
+			require.NoError(t, err)
+			met := f.sent()[0].Runner.GetId()
+			f.server.config.Exchange.View(func(table *occupancy.Table) {
+				require.Equal(t, c.silent, table.Silent(f.server.config.Clock.Now(), met))
+			})
+		})
+	}
+}
+
 // An older system, or a daemon that vanished, has work at a runner that nobody
 // counts. The first answer from there tells, and the next requests go elsewhere
 // instead of waiting behind it.
--- a/gateway/pkg/place/place.go
+++ b/gateway/pkg/place/place.go
@@ -121,10 +121,8 @@
 // Heard notes that something came from a runner.
 func (m *Machine) Heard(now clock.Millis, id string) { m.heard[id] = now }
 
-// Quiet says whether nothing has come from a runner for a span.
-func (m *Machine) Quiet(now clock.Millis, id string, span clock.Millis) bool {
-	return now-m.heard[id] >= span
-}
+// HeardAt is when something came from a runner last, 0 for never.
+func (m *Machine) HeardAt(id string) clock.Millis { return m.heard[id] }
 
 // Held notes how long a request held its place, a span.
 func (m *Machine) Held(service string, span clock.Millis) {
