Let requests queue only where they are in time most likely

Cause: a request went to a runner's queue if the mean wait just fitted its objective. Half of those in front end later than the mean: at 7 places and 740 ms a request, the second in a queue is late once in three times, and the ones behind it wait as much longer. A queue two deep at each runner takes in more requests only once in a burst.

Ruled out: a fixed share of the objective (right for one number of places and one length of requests only).

Now a request goes on if its turn comes in time with a chance of three in four, given how many must end of those that hold the places.

The chance is compared with queues played out (rapid).

--- a/gateway/pkg/admission/admission.go
+++ b/gateway/pkg/admission/admission.go
@@ -14,15 +14,20 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"toucanhinge.example/common/pkg/clock"
 )
 
 const (
-	// headroom is kept between the expected wait and the objective: the first
-	// event itself takes some 30 ms, and the wait is an estimate.
-	headroom clock.Millis = 80
+	// firstEvent is kept of the objective for the first event itself: reading the
+	// prompt and making it takes some 40 ms, the way to the caller up to ten.
+	firstEvent clock.Millis = 60
+	// leastChance is the least chance to be in time with which a request goes on to a
+	// queue. A queue two deep at every runner takes up hardly more requests than one of
+	// one, once for each burst, but all those that pass it wait twice as long.
+	leastChance = 0.75
 	// leastRetry is the shortest time after which to come back.
 	leastRetry clock.Millis = 200
 	// retrySpread is the least span over which those who are turned away
@@ -75,6 +80,9 @@
 	Returned bool
 	// Expected is the expected wait for a place at the chosen runner, a span.
 	Expected clock.Millis
+	// Turn is how many of the requests that hold its Places must end before this one
+	// begins, 0 if a place is free.
+	Turn, Places int
 	// Hold is how long such a request holds its place, a span.
 	Hold clock.Millis
 	// Gap is the longest pause between events that is in time, 0 for none.
@@ -89,12 +97,29 @@
 	return min((a.Ends-a.Arrived)/waitPart, sign)
 }
 
+// chance is the probability that the request's turn comes within a span. The requests
+// that hold the places began at any time, and each holds its place for about as long: the
+// chance of each to end within the span is the same, and as many as the turn must.
+func (a Ask) chance(span clock.Millis) float64 {
+	if a.Hold <= 0 || span >= a.Hold {
+		return 1
+	}
+	ends := max(float64(span)/float64(a.Hold), 0)
+	fewer := 0.0
+	exactly := math.Pow(1-ends, float64(a.Places))
+	for n := range a.Turn {
+		fewer += exactly
+		exactly *= float64(a.Places-n) / float64(n+1) * ends / (1 - ends)
+	}
+	return 1 - fewer
+}
+
 // Decide says what becomes of a request.
 func Decide(now clock.Millis, a Ask) Verdict {
 	switch {
-	case a.Expected == 0:
+	case a.Turn == 0:
 		return Go
-	case now-a.Arrived+a.Expected+headroom <= a.Objective:
+	case a.Objective > 0 && a.chance(a.Arrived+a.Objective-now-firstEvent) >= leastChance:
 		return Go
 	case a.Objective == 0 && now+a.Expected+a.Hold <= a.Ends:
 		return Go
--- a/gateway/pkg/admission/admission_test.go
+++ b/gateway/pkg/admission/admission_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,7 +15,7 @@
 
 func TestDecide(t *testing.T) {
 	ask := func(change func(*Ask)) Ask {
-		a := Ask{Arrived: 1_000, Ends: 6_000, Objective: 300, Hold: 800}
+		a := Ask{Arrived: 1_000, Ends: 6_000, Objective: 300, Hold: 800, Places: 8}
 		change(&a)
 		return a
 	}
@@ -26,19 +27,21 @@
 	}{
 		{"a place is free", 1_000, ask(func(*Ask) {}), Go},
 		{"a place is free, too late for the objective", 4_000, ask(func(*Ask) {}), Go},
-		{"in time", 1_000, ask(func(a *Ask) { a.Expected = 220 }), Go},
-		{"not in time", 1_000, ask(func(a *Ask) { a.Expected = 221 }), Refuse},
-		{"in time no longer", 1_100, ask(func(a *Ask) { a.Expected = 200 }), Refuse},
-		{"came back", 1_000, ask(func(a *Ask) { a.Expected, a.Returned = 400, true }), Wait},
-		{"came back, its caller would leave", 2_700, ask(func(a *Ask) { a.Expected, a.Returned = 400, true }), Refuse},
-		{"came back, its caller would stay", 2_700, ask(func(a *Ask) { a.Expected, a.Returned, a.Gap = 400, true, 300 }), Wait},
-		{"came back, too many wait", 1_000, ask(func(a *Ask) { a.Expected, a.Returned, a.Crowded = 400, true, true }), Refuse},
-		{"came back, half of its time is left", 3_499, ask(func(a *Ask) { a.Expected, a.Returned, a.Gap = 400, true, 900 }), Wait},
-		{"came back, waited long enough", 3_500, ask(func(a *Ask) { a.Expected, a.Returned, a.Gap = 400, true, 900 }), Refuse},
-		{"came back, could just be served", 1_000, ask(func(a *Ask) { a.Expected, a.Returned, a.Hold = 400, true, 4_850 }), Wait},
-		{"came back, can't be served any more", 1_000, ask(func(a *Ask) { a.Expected, a.Returned, a.Hold = 400, true, 4_851 }), Refuse},
-		{"no objective", 1_000, ask(func(a *Ask) { a.Expected, a.Objective = 4_200, 0 }), Go},
-		{"no objective, can't end in time", 1_000, ask(func(a *Ask) { a.Expected, a.Objective = 4_201, 0 }), Refuse},
+		{"next in the queue: in time, most likely", 1_000, ask(func(a *Ask) { a.Turn, a.Expected = 1, 100 }), Go},
+		{"the one after: late too often", 1_000, ask(func(a *Ask) { a.Turn, a.Expected = 2, 200 }), Refuse},
+		{"the one after: in time before shorter requests", 1_000, ask(func(a *Ask) { a.Turn, a.Expected, a.Hold = 2, 150, 600 }), Go},
+		{"next in the queue, in time no longer", 1_150, ask(func(a *Ask) { a.Turn, a.Expected = 1, 100 }), Refuse},
+		{"all before it end in time", 1_000, ask(func(a *Ask) { a.Turn, a.Expected, a.Hold = 8, 200, 200 }), Go},
+		{"came back", 1_000, ask(func(a *Ask) { a.Turn, a.Expected, a.Returned = 4, 400, true }), Wait},
+		{"came back, its caller would leave", 2_700, ask(func(a *Ask) { a.Turn, a.Expected, a.Returned = 4, 400, true }), Refuse},
+		{"came back, its caller would stay", 2_700, ask(func(a *Ask) { a.Turn, a.Expected, a.Returned, a.Gap = 4, 400, true, 300 }), Wait},
+		{"came back, too many wait", 1_000, ask(func(a *Ask) { a.Turn, a.Expected, a.Returned, a.Crowded = 4, 400, true, true }), Refuse},
+		{"came back, half of its time is left", 3_499, ask(func(a *Ask) { a.Turn, a.Expected, a.Returned, a.Gap = 4, 400, true, 900 }), Wait},
+		{"came back, waited long enough", 3_500, ask(func(a *Ask) { a.Turn, a.Expected, a.Returned, a.Gap = 4, 400, true, 900 }), Refuse},
+		{"came back, could just be served", 1_000, ask(func(a *Ask) { a.Turn, a.Expected, a.Returned, a.Hold = 4, 400, true, 4_850 }), Wait},
+		{"came back, can't be served any more", 1_000, ask(func(a *Ask) { a.Turn, a.Expected, a.Returned, a.Hold = 4, 400, true, 4_851 }), Refuse},
+		{"no objective", 1_000, ask(func(a *Ask) { a.Turn, a.Expected, a.Objective = 42, 4_200, 0 }), Go},
+		{"no objective, can't end in time", 1_000, ask(func(a *Ask) { a.Turn, a.Expected, a.Objective = 42, 4_201, 0 }), Refuse},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			require.Equal(t, c.want, Decide(c.now, c.ask))
@@ -55,12 +58,13 @@
 			Ends: clock.Millis(span.Draw(t, "ends")), Objective: clock.Millis(span.Draw(t, "objective")),
 			Expected: clock.Millis(span.Draw(t, "expected")), Hold: clock.Millis(span.Draw(t, "hold")),
 			Returned: rapid.Bool().Draw(t, "returned"),
+			Turn:     rapid.IntRange(0, 20).Draw(t, "turn"), Places: rapid.IntRange(1, 9).Draw(t, "places"),
 		}
 		now := clock.Millis(span.Draw(t, "now"))
 		switch Decide(now, a) {
 		case Refuse:
-			require.Positive(t, a.Expected)
-			require.Greater(t, now+a.Expected+headroom, a.Objective)
+			require.Positive(t, a.Turn)
+			require.Less(t, a.chance(a.Objective-now-firstEvent), leastChance)
 			require.False(t, a.Returned && now+a.Hold+finishSlack <= a.Ends && now < a.longestWait())
 		case Wait:
 			require.True(t, a.Returned)
@@ -70,6 +74,32 @@
 	})
 }
 
+// TestRapidTheChanceIsThatOfAQueue compares the chance to be in time with queues that
+// are played out.
+func TestRapidTheChanceIsThatOfAQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const plays = 4_000
+		a := Ask{
+			Hold: 1_000, Places: rapid.IntRange(1, 9).Draw(t, "places"), Turn: rapid.IntRange(1, 10).Draw(t, "turn"),
+		}
+		span := clock.Millis(rapid.Int64Range(-100, 1_100).Draw(t, "span"))
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		inTime := 0
+		for range plays {
+			ended := 0
+			for range a.Places {
+				if clock.Millis(random.Int64N(int64(a.Hold))) < span {
+					ended++
+				}
+			}
+			if ended >= a.Turn || span >= a.Hold {
+				inTime++
+			}
+		}
+		require.InDelta(t, float64(inTime)/plays, a.chance(span), 0.04)
+	})
+}
+
 func TestRapidCallersComeBackSpreadAndInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := Ask{Ends: clock.Millis(rapid.Int64Range(900, 9_000).Draw(t, "ends")), Expected: clock.Millis(rapid.Int64Range(0, 250).Draw(t, "expected"))}
--- a/lab/pkg/replay/play.go
+++ b/lab/pkg/replay/play.go
@@ -74,7 +74,7 @@
 	}, w.picture(g))
 	return choice, admission.Ask{
 		Arrived: r.arrived, Ends: r.ends, Objective: w.config.Objective, Returned: r.again,
-		Expected: choice.Wait, Hold: w.config.Hold, Crowded: len(g.room) >= w.config.Runners*w.config.Slots/2/len(w.gateways),
+		Expected: choice.Wait, Turn: choice.Turn, Places: w.config.Slots, Hold: w.config.Hold, Crowded: len(g.room) >= w.config.Runners*w.config.Slots/2/len(w.gateways),
 	}
 }
 
--- a/lab/pkg/replay/replay_test.go
+++ b/lab/pkg/replay/replay_test.go
@@ -190,8 +190,8 @@
 		inTime, late, worth = inTime+r.InTime, late+r.Late, worth+r.MeanWorth()/float64(len(seeds))
 	}
 	t.Logf("in time: %d, late: %d, mean worth: %.3f", inTime, late, worth)
-	require.Less(t, float64(late), 0.1*float64(inTime))
-	require.Greater(t, worth, 0.88)
+	require.Less(t, float64(late), 0.05*float64(inTime))
+	require.Greater(t, worth, 0.9)
 }
 
 func TestARunSaysTheSameForTheSameSeed(t *testing.T) {
