Forget the runners of an earlier lead

Cause: a VM of the core that led, was followed by another one, and led again six seconds later still had its list of runners of the first time.

Ruled out: a lagging list (it was read within 0.5 s all the while by the leaders between), late calls under way (they were begun by the new leader), gateways (they keep what the leader before told, until the new one has read the list).

Before, after: TestAnEarlierListOfRunnersIsForgotten fails, passes.

--- a/control/pkg/core/fleet.go
+++ b/control/pkg/core/fleet.go
@@ -48,12 +48,16 @@
 	return &fleet{changed: newSignal(), gateways: map[string]gateway{}, vms: map[string]announced{}}
 }
 
-// begin starts a leader's time: its revisions are above those of all before.
+// begin starts a leader's time: its revisions are above those of all before. What this
+// VM knew from an earlier time of its own is forgotten: a VM that led again after six
+// seconds sent items to runners that had been leaving all that time, until it had read
+// the list anew 200 ms later.
 func (f *fleet) begin(term uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision = term << 32
 	f.known = false
+	f.runners = nil
 	f.gateways = map[string]gateway{}
 	f.vms = map[string]announced{}
 }
