--- a/control/pkg/dispatch/machine.go
+++ b/control/pkg/dispatch/machine.go
@@ -112,6 +112,15 @@
 // Has says whether the item waits or runs.
 func (m *Machine) Has(key Key) bool { return m.items[key] != nil }
 
+// Lateness is how long after its due time an item would end now, a span; negative if it is
+// in time.
+func (m *Machine) Lateness(now clock.Millis, key Key) clock.Millis {
+	if i := m.items[key]; i != nil {
+		return now - i.Due
+	}
+	return 0
+}
+
 // Drop forgets an item, and says whether it ran.
 func (m *Machine) Drop(key Key) bool {
 	i := m.items[key]
