Tell callers to come back when the burst is probably over

Cause: a caller who is turned away came back at any moment within a third of its time, most of them while the same burst went on. There they took the places of new callers, and who is turned away twice is lost.

Now each gateway learns how long such spells last from its own refusals. Callers come back when the spell should be over, or late in their span if nothing is known of it or it lasts longer than usual.

--- a/gateway/pkg/admission/admission.go
+++ b/gateway/pkg/admission/admission.go
@@ -149,12 +149,17 @@
 	return min(patience/waitPart, longestStartWait)
 }
 
-// RetryAfter tells a refused caller when to come back: not before a place may be
-// free, and spread, so that those who were refused together don't return
-// together. Draw is from 0 to below 1.
-func RetryAfter(now clock.Millis, a Ask, draw float64) clock.Millis {
+// RetryAfter tells a refused caller when to come back: not before a place may be free
+// and the overload is probably over, and spread, so that those who were refused together
+// don't return together. Draw is from 0 to below 1.
+func RetryAfter(now clock.Millis, a Ask, spells *Spells, draw float64) clock.Millis {
 	first := max(a.Expected, leastRetry)
 	last := max((a.Ends-now)/retryPart, first+retrySpread)
+	latest := min(clock.Millis(latePart*float64(last)), last-retrySpread)
+	if left, known := spells.Left(now); known {
+		latest = min(latest, left)
+	}
+	first = max(first, latest)
 	return first + clock.Millis(draw*float64(last-first))
 }
 
--- a/gateway/pkg/admission/admission_test.go
+++ b/gateway/pkg/admission/admission_test.go
@@ -103,7 +103,8 @@
 func TestRapidCallersComeBackSpreadAndInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := Ask{Ends: clock.Millis(rapid.Int64Range(900, 9_000).Draw(t, "ends")), Expected: clock.Millis(rapid.Int64Range(0, 250).Draw(t, "expected"))}
-		first, last := RetryAfter(0, a, 0), RetryAfter(0, a, 0.999)
+		spells := spellsOf(clock.Millis(rapid.Int64Range(0, 5_000).Draw(t, "spell")))
+		first, last := RetryAfter(0, a, spells, 0), RetryAfter(0, a, spells, 0.999)
 		require.GreaterOrEqual(t, first, max(a.Expected, leastRetry))
 		require.GreaterOrEqual(t, last-first, retrySpread-2)
 		if a.Ends/retryPart >= first+retrySpread {
--- a/gateway/pkg/forward/choose.go
+++ b/gateway/pkg/forward/choose.go
@@ -88,8 +88,12 @@
 
 // refusal tells when to come back.
 func (e *exchange) refusal(reason string, ask admission.Ask) *Refusal {
+	s, now := e.server, e.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spells.Refused(now)
 	return &Refusal{
 		Status: http.StatusServiceUnavailable, Reason: reason,
-		RetryAfter: admission.RetryAfter(e.now(), ask, rand.Float64()).Duration(),
+		RetryAfter: admission.RetryAfter(now, ask, &s.spells, rand.Float64()).Duration(),
 	}
 }
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -53,6 +53,7 @@
 	gateways int
 	patience *admission.Patience
 	room     admission.Room
+	spells   admission.Spells
 	// freed is closed and made anew when the load changes.
 	freed chan struct{}
 }
--- a/lab/pkg/replay/play.go
+++ b/lab/pkg/replay/play.go
@@ -50,11 +50,13 @@
 
 // refuse turns a caller away, who comes back once.
 func (w *world) refuse(r *request, ask admission.Ask) {
+	spells := &w.gateways[r.gateway].spells
+	spells.Refused(w.now)
 	if r.again {
 		w.result.Refused++
 		return
 	}
-	at := w.now + admission.RetryAfter(w.now, ask, w.random.Float64())
+	at := w.now + admission.RetryAfter(w.now, ask, spells, w.random.Float64())
 	w.returns = append(w.returns, &request{first: r.first, arrived: at, ends: r.ends, again: true})
 	slices.SortFunc(w.returns, func(a, b *request) int { return cmp.Compare(a.arrived, b.arrived) })
 }
--- a/lab/pkg/replay/replay_test.go
+++ b/lab/pkg/replay/replay_test.go
@@ -191,7 +191,7 @@
 	}
 	t.Logf("in time: %d, late: %d, mean worth: %.3f", inTime, late, worth)
 	require.Less(t, float64(late), 0.05*float64(inTime))
-	require.Greater(t, worth, 0.9)
+	require.Greater(t, worth, 0.925)
 }
 
 func TestARunSaysTheSameForTheSameSeed(t *testing.T) {
--- a/lab/pkg/replay/world.go
+++ b/lab/pkg/replay/world.go
@@ -8,6 +8,7 @@
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/occupancy"
 	"toucanhinge.example/control/pkg/dispatch"
+	"toucanhinge.example/gateway/pkg/admission"
 	"toucanhinge.example/gateway/pkg/place"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
@@ -48,6 +49,8 @@
 	table *occupancy.Table
 	place *place.Machine
 	room  []*request
+	// spells are the overloads that it saw.
+	spells admission.Spells
 	// changed says that its own counts differ from what it told last.
 	changed bool
 }
