Begin long items sooner

Cause: items were begun in the order in which they are due, all expected to run equally long. Items of one job are due together, and the longest tenth runs for up to 8 s of the 18: when the fleet is short each is finished about when it is due, and the long ones past it.

Now the running time for a token is measured, and items begin in the order in which they must run on at the latest; the ones that can wait longest give way.

Before, after: TestLongItemsBeginSooner fails, passes.

--- a/control/pkg/dispatch/machine.go
+++ b/control/pkg/dispatch/machine.go
@@ -36,6 +36,8 @@
 	// Due is when the result should be there, Expires when it may be given up.
 	Due     clock.Millis
 	Expires clock.Millis
+	// Tokens is its size, of the prompt and the longest answer; 0 if it isn't known.
+	Tokens int64
 }
 
 // Load is what other work there is at a runner: online requests and items that
@@ -92,6 +94,9 @@
 	running map[string][]*item
 	blocked map[string]clock.Millis
 	meanRun clock.Millis
+	// perToken is the mean running time for a token in milliseconds, 0 until an item has
+	// been measured.
+	perToken float64
 }
 
 // New makes an empty machine.
@@ -136,12 +141,23 @@
 // Finished notes that an item ran to its end, and forgets it.
 func (m *Machine) Finished(now clock.Millis, key Key) {
 	if i := m.items[key]; i != nil {
-		whole := i.ran + now - i.began
-		m.meanRun += clock.Millis(runWeight * float64(whole-m.meanRun))
+		m.measure(i, i.ran+now-i.began)
 	}
 	m.Drop(key)
 }
 
+func (m *Machine) measure(i *item, whole clock.Millis) {
+	m.meanRun += clock.Millis(runWeight * float64(whole-m.meanRun))
+	if i.Tokens <= 0 {
+		return
+	}
+	perToken := float64(whole) / float64(i.Tokens)
+	if m.perToken == 0 {
+		m.perToken = perToken
+	}
+	m.perToken += runWeight * (perToken - m.perToken)
+}
+
 // Stopped notes that an item's call ended early. It waits again, at the earliest
 // after the pause.
 func (m *Machine) Stopped(now clock.Millis, key Key, pause clock.Millis) {
@@ -213,7 +229,7 @@
 
 // yield pauses items while a runner has more work than places. Engines run what
 // they get in the order of arrival, so an online request would else wait for an
-// item's end, seconds later. The items with the most time left give way.
+// item's end, seconds later. The items that can wait longest give way.
 func (m *Machine) yield(now clock.Millis, r *toucanhingev1.Runner, around Surroundings, actions *Actions) {
 	mine := m.running[r.GetId()]
 	if len(mine) == 0 {
@@ -224,9 +240,9 @@
 	if over <= 0 {
 		return
 	}
-	byDue := slices.Clone(mine)
-	slices.SortFunc(byDue, func(a, b *item) int { return cmp.Compare(b.Due, a.Due) })
-	for _, i := range byDue[:over] {
+	patient := slices.Clone(mine)
+	slices.SortFunc(patient, func(a, b *item) int { return cmp.Compare(m.latest(now, b), m.latest(now, a)) })
+	for _, i := range patient[:over] {
 		i.ran += now - i.began
 		m.leave(i)
 		actions.Pause = append(actions.Pause, i.Key)
@@ -291,8 +307,9 @@
 }
 
 // waiting lists the items to start, in order: first those that can still be in
-// time, by when they are due; then the late ones. Under overload the other way
-// round each place would go to an item that is late already, and all would be.
+// time, by when they must begin at the latest; then the late ones. Under overload the
+// other way round each place would go to an item that is late already, and all would be.
+// By when they are due, long items began too late: see TestLongItemsBeginSooner.
 func (m *Machine) waiting(now clock.Millis) []*item {
 	var list []*item
 	for _, i := range m.items {
@@ -303,15 +320,26 @@
 	slices.SortFunc(list, func(a, b *item) int {
 		return cmp.Or(
 			compareBool(m.late(now, a), m.late(now, b)),
-			cmp.Compare(a.Due, b.Due),
+			cmp.Compare(m.latest(now, a), m.latest(now, b)),
 			cmp.Compare(a.order, b.order),
 		)
 	})
 	return list
 }
 
-func (m *Machine) late(now clock.Millis, i *item) bool {
-	return now+max(m.meanRun-i.ran, 0) > i.Due
+func (m *Machine) late(now clock.Millis, i *item) bool { return now > m.latest(now, i) }
+
+// latest is when an item must run on at the latest to be in time.
+func (m *Machine) latest(now clock.Millis, i *item) clock.Millis {
+	whole := m.meanRun
+	if m.perToken > 0 && i.Tokens > 0 {
+		whole = clock.Millis(m.perToken * float64(i.Tokens))
+	}
+	ran := i.ran
+	if i.runner != "" {
+		ran += now - i.began
+	}
+	return i.Due - max(whole-ran, 0)
 }
 
 func compareBool(a, b bool) int {
--- a/control/pkg/dispatch/machine_test.go
+++ b/control/pkg/dispatch/machine_test.go
@@ -83,6 +83,31 @@
 	}
 }
 
+// Two items are due at the same time, and one runs four times as long. Begun in the order
+// of arrival the long one would be late, and a desk's longest summaries with it.
+func TestLongItemsBeginSooner(t *testing.T) {
+	m := New()
+	r := runnerOf("a", 1)
+	measured := itemOf("measured", 0, 10_000)
+	measured.Tokens = 1_000
+	m.Add(measured)
+	require.Len(t, m.Step(0, around(nil, r)).Start, 1)
+	m.Finished(2_000, measured.Key)
+
+	short, long := itemOf("short", 0, 20_000), itemOf("long", 0, 20_000)
+	short.Tokens, long.Tokens = 1_000, 4_000
+	m.Add(short)
+	m.Add(long)
+	started := m.Step(2_000, around(nil, r)).Start
+	require.Len(t, started, 1)
+	require.Equal(t, "long", started[0].Key.Job)
+
+	two := runnerOf("a", 2)
+	require.Len(t, m.Step(2_100, around(nil, two)).Start, 1)
+	paused := m.Step(2_200, around(map[string]Load{"a": {Online: 1}}, two)).Pause
+	require.Equal(t, []Key{short.Key}, paused, "the short one can wait longer")
+}
+
 func TestWhereItemsMayNotGo(t *testing.T) {
 	for _, c := range []struct {
 		name    string
