Find the core again when the settings name nobody of it

Cause: a gateway, and a VM of the core, ask the three VMs of their settings who leads. The members elected a leader 80 ms after they were back. But the three asked only one another, the eight others and all gateways only them: no caller was served again, and 158 jobs couldn't be read (LOST, RECOVER).

Ruled out: the election (leader at 46.92 s), a lost majority (three of five were there), the short tries to connect (played without them: the same).

Now a VM keeps the members that it knew last on its disk and asks these too; and one that lost its disk names the leader that still sends to it under the identity that it had, without obeying it.

Before, after: TestAVMThatLostItsDiskNamesTheLeader and TestAVMRemembersTheCore fail (never found in 3 s), pass.

--- a/control/pkg/core/core.go
+++ b/control/pkg/core/core.go
@@ -84,6 +84,8 @@
 	machine *systemstate.Machine
 	driver  *batchrun.Driver
 	fleet   *fleet
+	// acquaintances are the members that this VM knew last.
+	acquaintances *acquaintances
 	// changed wakes those who wait for news of the state.
 	changed *signal
 	metrics *metrics
@@ -100,6 +102,8 @@
 		return nil, fmt.Errorf("data folder: %w", err)
 	}
 	c := &Core{config: config, identity: identity, fleet: newFleet(), changed: newSignal(), metrics: newMetrics(config.Registerer)}
+	c.acquaintances = recall(filepath.Join(config.Folder, "acquaintances"), config.Logger)
+	config.Core.SetAddresses(c.acquaintances.withSeeds(config.Seeds()))
 	folder := filepath.Join(config.Folder, "core")
 	c.machine = systemstate.NewMachine(systemstate.MachineConfig{
 		Folder: filepath.Join(folder, "state"), Fatal: config.Fatal, Notify: c.notify,
--- a/control/pkg/core/lead.go
+++ b/control/pkg/core/lead.go
@@ -270,8 +270,9 @@
 	if err != nil {
 		level.Debug(c.config.Logger).Log(logs.KeyEvent, "announce-failed", logs.KeyError, err)
 		// The VMs that we know may all be gone, and the settings name others by now.
-		c.config.Core.SetAddresses(c.config.Seeds())
+		c.config.Core.SetAddresses(c.acquaintances.withSeeds(c.config.Seeds()))
 		return
 	}
 	c.config.Core.SetAddresses(answer.GetCoreAddresses())
+	c.acquaintances.keep(answer.GetCoreAddresses())
 }
--- a/control/pkg/core/service.go
+++ b/control/pkg/core/service.go
@@ -232,10 +232,10 @@
 	if _, address, _ := c.group.Leader(); address != "" {
 		return address
 	}
-	if known := c.config.Core.Known(Group); known != c.config.Address {
+	if known := c.config.Core.Known(Group); known != "" && known != c.config.Address {
 		return known
 	}
-	return ""
+	return c.group.Named()
 }
 
 // NameLeader tells at once which VM leads, as far as this one knows.
--- a/control/pkg/replica/api.go
+++ b/control/pkg/replica/api.go
@@ -59,6 +59,11 @@
 	return v.status.Leader, v.leaderAddress, v.status.Role == consensus.RoleLeader
 }
 
+// Named is the address of a leader that still takes this replica for the one that it was
+// before it lost its disk; empty if there is none. The leader's messages aren't obeyed, but
+// they tell who leads: when all others have just lost power too, nobody else may know.
+func (g *Group) Named() string { return g.view.Load().named }
+
 // Term is the term that this replica is in.
 func (g *Group) Term() uint64 { return g.view.Load().status.Term }
 
--- a/control/pkg/replica/loop.go
+++ b/control/pkg/replica/loop.go
@@ -28,6 +28,8 @@
 type view struct {
 	status        consensus.Status
 	leaderAddress string
+	// named is the address of a leader that took this replica for another one.
+	named string
 }
 
 // loop is what the consensus loop keeps.
@@ -46,6 +48,10 @@
 	// lostAt is when this replica stopped leading while callers waited.
 	lostAt clock.Millis
 	role   consensus.Role
+	// named is where a leader is that sends to this replica's name under another
+	// identity, that of the disk which was lost, and namedAt when it did so last.
+	named   string
+	namedAt clock.Millis
 }
 
 func formationPath(folder string) string { return filepath.Join(folder, "formation") }
@@ -271,6 +277,10 @@
 	if address != "" && (!named || member.Identity == m.FromIdentity) {
 		g.loop.heard[m.From] = address
 	}
+	leads := m.Kind == consensus.KindAppend || m.Kind == consensus.KindHeartbeat
+	if leads && m.To == g.config.Name && m.ToIdentity != g.config.Identity {
+		g.loop.named, g.loop.namedAt = address, g.config.Clock.Now()
+	}
 }
 
 // addressOf prefers what a replica said itself: it may have moved since it became
@@ -309,5 +319,8 @@
 	if v.status.Leader != "" {
 		v.leaderAddress = g.addressOf(v.status.Leader)
 	}
+	if g.config.Clock.Now()-g.loop.namedAt <= 2*g.config.ElectionTimeout {
+		v.named = g.loop.named
+	}
 	g.view.Store(v)
 }
