--- a/lab/pkg/replay/config.go
+++ b/lab/pkg/replay/config.go
@@ -50,6 +50,9 @@
 	Yield bool
 	// FirstCome starts items in the order of arrival in place of urgency.
 	FirstCome bool
+	// Returns is how often callers come back who were turned away: once if it is 0, never
+	// if it is negative.
+	Returns int
 	// Outage is when no gateway takes requests.
 	Outage Outage
 	// Loss is when the daemon that runs the items vanishes.
--- a/lab/pkg/replay/play.go
+++ b/lab/pkg/replay/play.go
@@ -20,13 +20,13 @@
 		return
 	}
 	r.arrived += outage.ComeBack
-	r.again, r.lost = true, true
+	r.again, r.lost, r.attempts = true, true, 1
 	if r.arrived < outage.Until {
 		w.result.Refused++
 		return
 	}
-	w.returns = append(w.returns, r)
-	slices.SortFunc(w.returns, func(a, b *request) int { return cmp.Compare(a.arrived, b.arrived) })
+	w.returning = append(w.returning, r)
+	slices.SortFunc(w.returning, func(a, b *request) int { return cmp.Compare(a.arrived, b.arrived) })
 }
 
 // arrive takes a request at some gateway, as the platform's balancer does.
@@ -48,23 +48,31 @@
 	}
 }
 
-// refuse turns a caller away, who comes back once.
+// returns is how often a caller comes back.
+func (w *world) returns() int {
+	if w.config.Returns == 0 {
+		return 1
+	}
+	return max(w.config.Returns, 0)
+}
+
+// refuse turns a caller away, who may come back.
 func (w *world) refuse(r *request, ask admission.Ask) {
 	spells := &w.gateways[r.gateway].spells
 	spells.Refused(w.now)
-	if r.again {
+	if r.attempts >= w.returns() {
 		w.result.Refused++
 		return
 	}
 	at := w.now + admission.RetryAfter(w.now, ask, spells, w.random.Float64())
-	w.returns = append(w.returns, &request{first: r.first, arrived: at, ends: r.ends, again: true})
-	slices.SortFunc(w.returns, func(a, b *request) int { return cmp.Compare(a.arrived, b.arrived) })
+	w.returning = append(w.returning, &request{first: r.first, arrived: at, ends: r.ends, again: true, attempts: r.attempts + 1})
+	slices.SortFunc(w.returning, func(a, b *request) int { return cmp.Compare(a.arrived, b.arrived) })
 }
 
 func (w *world) comeBack() {
-	for len(w.returns) > 0 && w.returns[0].arrived <= w.now {
-		r := w.returns[0]
-		w.returns = w.returns[1:]
+	for len(w.returning) > 0 && w.returning[0].arrived <= w.now {
+		r := w.returning[0]
+		w.returning = w.returning[1:]
 		w.arrive(r)
 	}
 }
--- a/lab/pkg/replay/world.go
+++ b/lab/pkg/replay/world.go
@@ -24,6 +24,8 @@
 	arrived clock.Millis
 	ends    clock.Millis
 	again   bool
+	// attempts is how often it came back.
+	attempts int
 	// lost says that its first attempt met an outage: it is late whatever happens.
 	lost    bool
 	gateway int
@@ -84,8 +86,9 @@
 	due      map[dispatch.Key]clock.Millis
 	digests  []digest
 	sequence uint64
-	returns  []*request
-	result   Result
+	// returning are the callers who will come back, by when.
+	returning []*request
+	result    Result
 }
 
 // Run plays a load to its end.
@@ -125,7 +128,7 @@
 // busy says whether anything is still under way.
 func (w *world) busy() bool {
 	waiting, running := w.dispatch.Counts()
-	if len(w.returns) > 0 || waiting+running > 0 {
+	if len(w.returning) > 0 || waiting+running > 0 {
 		return true
 	}
 	for _, g := range w.gateways {
