--- a/lab/pkg/replay/config.go
+++ b/lab/pkg/replay/config.go
@@ -75,9 +75,11 @@
 
 // Result is what callers and desks got.
 type Result struct {
-	InTime  int
-	Late    int
-	Refused int
+	InTime int
+	// CameBack is the part of InTime that was turned away first.
+	CameBack int
+	Late     int
+	Refused  int
 	// Waits of the requests that were served, sorted, from their first arrival.
 	Waits []clock.Millis
 	// Worth is what the requests are worth to the desks together: 1 in time, lateWorth
--- a/lab/pkg/replay/world.go
+++ b/lab/pkg/replay/world.go
@@ -15,6 +15,10 @@
 
 const service = "llm"
 
+// roomEvery is the interval between two looks of the requests that wait: a gateway looks
+// when it hears of a change, which is as often in a burst.
+const roomEvery clock.Millis = 5
+
 // tellEvery is how long daemons gather changes before they tell them.
 const tellEvery clock.Millis = 4
 
@@ -112,7 +116,9 @@
 			items = items[1:]
 		}
 		w.comeBack()
-		w.rooms()
+		if w.now%roomEvery == 0 {
+			w.rooms()
+		}
 		if !w.coreGone {
 			w.items()
 		}
@@ -263,6 +269,7 @@
 	case t.request.lost:
 		w.result.Worth += lateWorth
 	case t.request.again:
+		w.result.CameBack++
 		w.result.Worth += (1 + lateWorth) / 2
 	default:
 		w.result.Worth++
