--- a/lab/pkg/replay/customers_test.go
+++ b/lab/pkg/replay/customers_test.go
@@ -30,6 +30,7 @@
 // callers that never come back or come back twice, bursts without a rhythm, items that run
 // ten times as long, an overload that lasts.
 func TestOtherCustomersAreServedNoWorse(t *testing.T) {
+	t.Parallel()
 	capacity := func(c *Config) float64 { return float64(c.Runners*c.Slots) / float64(c.Hold) * 1000 }
 	for _, c := range []struct {
 		name   string
@@ -59,6 +60,7 @@
 		}, 0.771, 0.999},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			results := make([]Result, 2)
 			var plays sync.WaitGroup
 			for i, seed := range seeds[:len(results)] {
--- a/lab/pkg/replay/replay_test.go
+++ b/lab/pkg/replay/replay_test.go
@@ -40,6 +40,7 @@
 // requests, or chooses at random, sends several to one runner while another one
 // has room.
 func TestPlacingByWhatAllHaveUnderWay(t *testing.T) {
+	t.Parallel()
 	plain := func(placing Placing) func(*Config) {
 		return func(c *Config) { c.Placing, c.Admit = placing, false }
 	}
@@ -55,6 +56,7 @@
 // refusing at once what can't be in time, and letting those who came back wait,
 // serves more in time than queues at the runners, and no fewer at all.
 func TestTurningAwayInABurst(t *testing.T) {
+	t.Parallel()
 	burst := func(admit bool) func(*Config) {
 		return func(c *Config) {
 			c.Admit = admit
@@ -70,6 +72,7 @@
 
 // While places are free nothing is refused, whatever the gateways' pictures.
 func TestNothingIsRefusedWhileThereIsRoom(t *testing.T) {
+	t.Parallel()
 	for _, seed := range seeds {
 		config := sheet(seed)
 		config.Arrivals = Arrivals(seed, 20_000, Step{0, 70})
@@ -83,6 +86,7 @@
 // the next burst wait behind them for seconds; when they do, hardly longer than
 // without any items, and the items are still in time.
 func TestItemsGiveWayInABurst(t *testing.T) {
+	t.Parallel()
 	work := func(yield, items bool) func(*Config) {
 		return func(c *Config) {
 			c.Yield, c.Admit = yield, false
@@ -107,6 +111,7 @@
 // those that can still be in time, by when they are due, finishes more in time
 // than the order of arrival.
 func TestUrgentItemsFirst(t *testing.T) {
+	t.Parallel()
 	flood := func(firstCome bool) func(*Config) {
 		return func(c *Config) {
 			c.FirstCome = firstCome
@@ -140,6 +145,7 @@
 // carry the items' calls and end them soon, hardly anything is late; when runners at
 // least tell of what they have under way, some requests find better places.
 func TestTheDaemonThatRunsTheItemsVanishes(t *testing.T) {
+	t.Parallel()
 	carried, told := mean(vanishing(Loss{Release: 300}), share), mean(vanishing(Loss{Tell: true}), share)
 	blind := mean(vanishing(Loss{}), share)
 	t.Logf("in time: %.3f when others carry the calls, %.3f when runners tell, %.3f else", carried, told, blind)
@@ -152,6 +158,7 @@
 // back while the burst goes on. They are late whatever happens; queued in the order of
 // arrival they would make the others late as well.
 func TestAfterAnOutage(t *testing.T) {
+	t.Parallel()
 	outage := func(admit bool) func(*Config) {
 		return func(c *Config) {
 			c.Admit = admit
@@ -184,6 +191,7 @@
 // over must be turned away in any case. When queues at the runners are let grow until
 // the mean wait just fits, one request in four of the burst is late.
 func TestBurstsOnAShortFleet(t *testing.T) {
+	t.Parallel()
 	inTime, late, worth := 0, 0, 0.0
 	for _, seed := range seeds {
 		r := Run(short(seed))
@@ -195,5 +203,6 @@
 }
 
 func TestARunSaysTheSameForTheSameSeed(t *testing.T) {
+	t.Parallel()
 	require.Equal(t, Run(sheet(7)), Run(sheet(7)))
 }
