--- a/gateway/pkg/forward/choose.go
+++ b/gateway/pkg/forward/choose.go
@@ -41,7 +41,8 @@
 	hold, crowded := e.server.conditions(e.service)
 	return choice, admission.Ask{
 		Arrived: e.request.Arrived, Ends: e.ends, Objective: e.route.Objective(), Returned: e.returned,
-		Expected: choice.Wait, Turn: choice.Turn, Places: int(choice.Runner.GetSlots()), Hold: hold, Gap: clock.Millis(e.route.GapObjectiveMs), Crowded: crowded && !e.inRoom, Ran: e.ran > 0,
+		Expected: choice.Wait, Turn: choice.Turn, Places: int(choice.Runner.GetSlots()), Hold: hold,
+		Gap: clock.Millis(e.route.GapObjectiveMs), Crowded: crowded && !e.inRoom, Ran: e.ran > 0,
 	}, found
 }
 
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -258,7 +258,8 @@
 	}
 	logger.Log(logs.KeyEvent, logs.EventRequestEnded, logs.KeyRequest, e.request.ID,
 		"route", e.route.Name, "version", e.server.Version(), "outcome", e.outcome, "reason", e.reason, "runners", e.tried, "ran", e.ran,
-		"expected-wait-ms", e.wait, "returned", e.returned, "waited-ms", e.waited, "first-ms", first, "objective-ms", e.route.Objective(), "took-ms", now-e.request.Arrived, "events", e.events,
+		"expected-wait-ms", e.wait, "returned", e.returned, "waited-ms", e.waited, "first-ms", first,
+		"objective-ms", e.route.Objective(), "took-ms", now-e.request.Arrived, "events", e.events,
 		"left-ms", e.ends-now, logs.KeyError, e.err)
 	if e.outcome == outcomeCut {
 		panic(http.ErrAbortHandler)
