--- /dev/null
+++ b/gateway/pkg/place/place_bench_test.go
@@ -0,0 +1,30 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+// BenchmarkChoose places a request on fleets of today's and of the planned size, in a
+// burst with nine places in ten taken.
+func BenchmarkChoose(b *testing.B) {
+	for _, runners := range []int{9, 54, 600} {
+		b.Run(fmt.Sprint(runners), func(b *testing.B) {
+			var list []*toucanhingev1.Runner
+			loads := map[string]Load{}
+			random := rand.New(rand.NewPCG(1, 1))
+			for i := range runners {
+				r := &toucanhingev1.Runner{Id: fmt.Sprint(i), Service: "llm", DataCentre: "here", Slots: 7}
+				list = append(list, r)
+				loads[r.GetId()] = Load{Online: 5 + random.IntN(3)}
+			}
+			m := machineOf(list...)
+			for b.Loop() {
+				m.Choose(0, Ask{Service: "llm", Tie: random.Float64(), Draw: random.Float64(), Age: 14}, from(loads))
+			}
+		})
+	}
+}
