--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 lint:
 	@fumpt=$$(cd tools && GOWORK=off go tool gofumpt -l $(addprefix ../,$(MODULES)) | grep -v '/gen/'); \
 	if [ -n "$$fumpt" ]; then echo "not formatted:"; echo "$$fumpt"; exit 1; fi
-	@root=$$PWD; for m in $(filter-out schema,$(MODULES)); do echo "lint $$m"; (cd $$m && $(LINT) run -c $$root/.golangci.yml ./...) || exit 1; done
+	@root=$$PWD; for m in $(filter-out schema,$(MODULES)); do echo "lint $$m"; (cd $$m && $(LINT) run --allow-parallel-runners -c $$root/.golangci.yml ./...) || exit 1; done
 
 format:
 	@cd tools && GOWORK=off go tool gofumpt -w $(addprefix ../,$(filter-out schema,$(MODULES)))
