Ask again when an answer of the core breaks off

Cause: a leader that is killed while it answers leaves the header of an answer without its end. The client library calls that "unknown", which the client of the core didn't count as a lost VM: the operator's change or the desk's job failed, although the call is idempotent and the next leader would have answered.

Ruled out: the consensus (the history was illegal for the missing operation only), the short tries to connect (the connection stood).

Now an "unknown" that no VM sent counts as unreachable, and the call is made again.

--- a/common/pkg/control/client.go
+++ b/common/pkg/control/client.go
@@ -267,6 +267,15 @@
 	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled:
 		c.learn(group, "")
 		return reasonUnreachable, true
+	case connect.CodeUnknown:
+		// An answer that breaks off after its header has this code too. The VM was killed
+		// while it answered; without another try the operator's change, or a desk's job,
+		// failed although the next leader would have answered.
+		if connect.IsWireError(err) {
+			return "", false
+		}
+		c.learn(group, "")
+		return reasonUnreachable, true
 	default:
 		return "", false
 	}
