Run the items with the least left first when there are too many

Cause: on the large deployment items ask for more than online work leaves. With those first that must begin first to be in time, every item got a little of each place and nearly all ended late. Now the order follows what is seen: once running all that waits takes more than 0.8 of the mean slack, those with the least left go first, until it takes less than 0.4.

--- /dev/null
+++ b/control/pkg/dispatch/fill.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"container/heap"
+	"slices"
+	"strings"
+
+	"toucanhinge.example/common/pkg/clock"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+// fill starts items at the places that are free.
+func (m *Machine) fill(now clock.Millis, around Surroundings, order order, actions *Actions) {
+	rooms, free := m.rooms(now, around)
+	if free == 0 {
+		return
+	}
+	for _, i := range m.first(now, around, order, rooms) {
+		p := rooms.best(around.Services(i.Key.Job))
+		if p == nil {
+			continue
+		}
+		p.take()
+		i.runner, i.began = p.runner.GetId(), now
+		m.running[i.runner] = append(m.running[i.runner], i)
+		actions.Start = append(actions.Start, Start{Key: i.Key, Runner: p.runner})
+	}
+}
+
+// first lists the waiting items that may get a place, in order. Jobs with the same
+// services compete; of each such group no more are kept than its services have places,
+// so that a decision among thousands of items doesn't sort them all.
+func (m *Machine) first(now clock.Millis, around Surroundings, order order, rooms rooms) []*item {
+	groups := map[string]*front{}
+	ofJob := map[string]*front{}
+	for _, i := range m.items {
+		if i.runner != "" || i.notBefore > now {
+			continue
+		}
+		f, known := ofJob[i.Key.Job]
+		if !known {
+			services := around.Services(i.Key.Job)
+			name := strings.Join(services, " ")
+			if f = groups[name]; f == nil {
+				f = &front{most: rooms.free(services), order: order}
+				groups[name] = f
+			}
+			ofJob[i.Key.Job] = f
+		}
+		f.offer(i)
+	}
+	var list []*item
+	for _, f := range groups {
+		list = append(list, f.items...)
+	}
+	slices.SortFunc(list, order.compare)
+	return list
+}
+
+// front keeps the first of the items that are offered, in a heap with the last of them on
+// top.
+type front struct {
+	most  int
+	order order
+	items []*item
+}
+
+func (f *front) Len() int           { return len(f.items) }
+func (f *front) Less(a, b int) bool { return f.order.compare(f.items[a], f.items[b]) > 0 }
+func (f *front) Swap(a, b int)      { f.items[a], f.items[b] = f.items[b], f.items[a] }
+
+// Push implements heap.Interface.
+func (f *front) Push(x any) {
+	if i, ok := x.(*item); ok {
+		f.items = append(f.items, i)
+	}
+}
+
+// Pop implements heap.Interface.
+func (f *front) Pop() any {
+	last := f.items[len(f.items)-1]
+	f.items = f.items[:len(f.items)-1]
+	return last
+}
+
+func (f *front) offer(i *item) {
+	switch {
+	case len(f.items) < f.most:
+		heap.Push(f, i)
+	case f.most > 0 && f.order.compare(i, f.items[0]) < 0:
+		f.items[0] = i
+		heap.Fix(f, 0)
+	}
+}
+
+// place is a runner with the places that are free there.
+type place struct {
+	runner *toucanhingev1.Runner
+	free   int
+	near   bool
+	room   *room
+}
+
+// take uses one of the places.
+func (p *place) take() {
+	p.free--
+	p.room.free--
+	heap.Fix(p.room, 0)
+}
+
+func (p *place) before(other *place) bool {
+	if p.free != other.free {
+		return p.free > other.free
+	}
+	return p.near && !other.near
+}
+
+// room holds the free places of a service, in a heap with the best one on top: the
+// runner with the most room, a near one if there is as much.
+type room struct {
+	free   int
+	places []*place
+}
+
+func (r *room) Len() int           { return len(r.places) }
+func (r *room) Less(a, b int) bool { return r.places[a].before(r.places[b]) }
+func (r *room) Swap(a, b int)      { r.places[a], r.places[b] = r.places[b], r.places[a] }
+
+// Push implements heap.Interface.
+func (r *room) Push(x any) {
+	if p, ok := x.(*place); ok {
+		r.places = append(r.places, p)
+	}
+}
+
+// Pop implements heap.Interface.
+func (r *room) Pop() any {
+	last := r.places[len(r.places)-1]
+	r.places = r.places[:len(r.places)-1]
+	return last
+}
+
+// rooms are the free places by service.
+type rooms map[string]*room
+
+// free counts the places of some services.
+func (r rooms) free(services []string) int {
+	free := 0
+	for _, s := range services {
+		if r[s] != nil {
+			free += r[s].free
+		}
+	}
+	return free
+}
+
+// best is the best place of some services, nil if all are taken.
+func (r rooms) best(services []string) *place {
+	var found *place
+	for _, s := range services {
+		if r[s] == nil || r[s].free == 0 {
+			continue
+		}
+		if p := r[s].places[0]; found == nil || p.before(found) {
+			found = p
+		}
+	}
+	return found
+}
+
+// rooms lists the free places, and counts them.
+func (m *Machine) rooms(now clock.Millis, around Surroundings) (rooms, int) {
+	all, free := rooms{}, 0
+	for _, r := range around.Runners {
+		if r.GetLeaving() || m.blocked[r.GetId()] > now {
+			continue
+		}
+		load := around.Load(r.GetId())
+		if load.Silent {
+			continue
+		}
+		left := int(r.GetSlots()) - load.all() - len(m.running[r.GetId()])
+		if left <= 0 {
+			continue
+		}
+		if all[r.GetService()] == nil {
+			all[r.GetService()] = &room{}
+		}
+		at := all[r.GetService()]
+		at.places = append(at.places, &place{runner: r, free: left, near: around.Near(r), room: at})
+		at.free += left
+		free += left
+	}
+	for _, at := range all {
+		heap.Init(at)
+	}
+	return all, free
+}
--- a/control/pkg/dispatch/machine.go
+++ b/control/pkg/dispatch/machine.go
@@ -3,27 +3,20 @@
 // seconds and leave most of them free in between, while items run for seconds
 // and are due within some tens of seconds. So items fill every place that online
 // work leaves, at once; they give a place back as soon as online work stands
-// before it, and go on later from their last event; and those that can still be
-// in time go first. It holds no goroutine, socket or clock.
+// before it, and go on later from their last event; those that can still be in
+// time go first, and when there are more of them than places, those with the least
+// left. A decision costs what changes: on fleets of hundreds of runners with
+// thousands of waiting items it is asked for up to 200 times a second. It holds no
+// goroutine, socket or clock.
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 
 	"toucanhinge.example/common/pkg/clock"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
-const (
-	// firstRun is the running time that is expected of an item before any has
-	// been measured.
-	firstRun clock.Millis = 3_000
-	// runWeight is the weight of the newest measured run in the mean: the last
-	// ten or so count.
-	runWeight = 0.1
-)
-
 // Key names an item.
 type Key struct {
 	Job   string
@@ -89,29 +82,35 @@
 
 // Machine keeps the items that wait or run.
 type Machine struct {
-	items   map[Key]*item
+	items map[Key]*item
+	// perJob counts the items of each job.
+	perJob  map[string]int
 	order   uint64
 	running map[string][]*item
 	blocked map[string]clock.Millis
-	meanRun clock.Millis
-	// perToken is the mean running time for a token in milliseconds, 0 until an item has
-	// been measured.
-	perToken float64
+	// expires is when the first item may be given up, at the earliest.
+	expires  clock.Millis
+	measured measured
+	pressure pressure
 }
 
 // New makes an empty machine.
 func New() *Machine {
 	return &Machine{
-		items: map[Key]*item{}, running: map[string][]*item{}, blocked: map[string]clock.Millis{}, meanRun: firstRun,
+		items: map[Key]*item{}, perJob: map[string]int{}, running: map[string][]*item{}, blocked: map[string]clock.Millis{},
+		expires: never, measured: measured{meanRun: firstRun},
 	}
 }
 
 // Add takes an item to run.
 func (m *Machine) Add(i Item) {
-	if m.items[i.Key] == nil {
-		m.order++
-		m.items[i.Key] = &item{Item: i, order: m.order}
+	if m.items[i.Key] != nil {
+		return
 	}
+	m.order++
+	m.items[i.Key] = &item{Item: i, order: m.order}
+	m.perJob[i.Key.Job]++
+	m.expires = min(m.expires, i.Expires)
 }
 
 // Has says whether the item waits or runs.
@@ -133,31 +132,27 @@
 		return false
 	}
 	ran := i.runner != ""
-	m.leave(i)
-	delete(m.items, key)
+	m.forget(i)
 	return ran
 }
 
+func (m *Machine) forget(i *item) {
+	m.leave(i)
+	delete(m.items, i.Key)
+	m.perJob[i.Key.Job]--
+	if m.perJob[i.Key.Job] == 0 {
+		delete(m.perJob, i.Key.Job)
+	}
+}
+
 // Finished notes that an item ran to its end, and forgets it.
 func (m *Machine) Finished(now clock.Millis, key Key) {
 	if i := m.items[key]; i != nil {
-		m.measure(i, i.ran+now-i.began)
+		m.measured.note(i, i.ran+now-i.began)
 	}
 	m.Drop(key)
 }
 
-func (m *Machine) measure(i *item, whole clock.Millis) {
-	m.meanRun += clock.Millis(runWeight * float64(whole-m.meanRun))
-	if i.Tokens <= 0 {
-		return
-	}
-	perToken := float64(whole) / float64(i.Tokens)
-	if m.perToken == 0 {
-		m.perToken = perToken
-	}
-	m.perToken += runWeight * (perToken - m.perToken)
-}
-
 // Stopped notes that an item's call ended early. It waits again, at the earliest
 // after the pause.
 func (m *Machine) Stopped(now clock.Millis, key Key, pause clock.Millis) {
@@ -178,11 +173,9 @@
 
 // Jobs lists the jobs that have items here.
 func (m *Machine) Jobs() []string {
-	var jobs []string
-	for key := range m.items {
-		if !slices.Contains(jobs, key.Job) {
-			jobs = append(jobs, key.Job)
-		}
+	jobs := make([]string, 0, len(m.perJob))
+	for job := range m.perJob {
+		jobs = append(jobs, job)
 	}
 	return jobs
 }
@@ -195,6 +188,9 @@
 	return len(m.items) - running, running
 }
 
+// Pressed says whether more items wait than can be in time.
+func (m *Machine) Pressed() bool { return m.pressure.pressed }
+
 func (m *Machine) leave(i *item) {
 	if i.runner == "" {
 		return
@@ -210,27 +206,36 @@
 func (m *Machine) Step(now clock.Millis, around Surroundings) Actions {
 	var actions Actions
 	m.expire(now, &actions)
+	if m.pressure.due(now) {
+		m.pressure.look(now, m, around)
+	}
+	order := m.orderAt(now)
 	for _, r := range around.Runners {
-		m.yield(now, r, around, &actions)
+		m.yield(now, r, around, order, &actions)
 	}
-	m.fill(now, around, &actions)
+	m.fill(now, around, order, &actions)
 	return actions
 }
 
 func (m *Machine) expire(now clock.Millis, actions *Actions) {
+	if now < m.expires {
+		return
+	}
+	m.expires = never
 	for key, i := range m.items {
-		if now >= i.Expires {
-			actions.GiveUp = append(actions.GiveUp, key)
-			m.leave(i)
-			delete(m.items, key)
+		if now < i.Expires {
+			m.expires = min(m.expires, i.Expires)
+			continue
 		}
+		actions.GiveUp = append(actions.GiveUp, key)
+		m.forget(i)
 	}
 }
 
 // yield pauses items while a runner has more work than places. Engines run what
 // they get in the order of arrival, so an online request would else wait for an
-// item's end, seconds later. The items that can wait longest give way.
-func (m *Machine) yield(now clock.Millis, r *toucanhingev1.Runner, around Surroundings, actions *Actions) {
+// item's end, seconds later. The items that would be started last give way.
+func (m *Machine) yield(now clock.Millis, r *toucanhingev1.Runner, around Surroundings, order order, actions *Actions) {
 	mine := m.running[r.GetId()]
 	if len(mine) == 0 {
 		return
@@ -241,114 +246,10 @@
 		return
 	}
 	patient := slices.Clone(mine)
-	slices.SortFunc(patient, func(a, b *item) int { return cmp.Compare(m.latest(now, b), m.latest(now, a)) })
+	slices.SortFunc(patient, func(a, b *item) int { return order.compare(b, a) })
 	for _, i := range patient[:over] {
 		i.ran += now - i.began
 		m.leave(i)
 		actions.Pause = append(actions.Pause, i.Key)
 	}
 }
-
-// place is a runner with the places that are free there.
-type place struct {
-	runner *toucanhingev1.Runner
-	free   int
-	near   bool
-}
-
-func (m *Machine) fill(now clock.Millis, around Surroundings, actions *Actions) {
-	places := m.places(now, around)
-	if len(places) == 0 {
-		return
-	}
-	for _, i := range m.waiting(now) {
-		services := around.Services(i.Key.Job)
-		p := best(places, services)
-		if p == nil {
-			continue
-		}
-		p.free--
-		i.runner, i.began = p.runner.GetId(), now
-		m.running[i.runner] = append(m.running[i.runner], i)
-		actions.Start = append(actions.Start, Start{Key: i.Key, Runner: p.runner})
-	}
-}
-
-func (m *Machine) places(now clock.Millis, around Surroundings) []*place {
-	var places []*place
-	for _, r := range around.Runners {
-		if r.GetLeaving() || m.blocked[r.GetId()] > now {
-			continue
-		}
-		load := around.Load(r.GetId())
-		if load.Silent {
-			continue
-		}
-		free := int(r.GetSlots()) - load.all() - len(m.running[r.GetId()])
-		if free > 0 {
-			places = append(places, &place{runner: r, free: free, near: around.Near(r)})
-		}
-	}
-	return places
-}
-
-// best is the place with the most room, a near one if there is as much.
-func best(places []*place, services []string) *place {
-	var found *place
-	for _, p := range places {
-		if p.free <= 0 || !slices.Contains(services, p.runner.GetService()) {
-			continue
-		}
-		if found == nil || p.free > found.free || p.free == found.free && p.near && !found.near {
-			found = p
-		}
-	}
-	return found
-}
-
-// waiting lists the items to start, in order: first those that can still be in
-// time, by when they must begin at the latest; then the late ones. Under overload the
-// other way round each place would go to an item that is late already, and all would be.
-// By when they are due, long items began too late: see TestLongItemsBeginSooner.
-func (m *Machine) waiting(now clock.Millis) []*item {
-	var list []*item
-	for _, i := range m.items {
-		if i.runner == "" && i.notBefore <= now {
-			list = append(list, i)
-		}
-	}
-	slices.SortFunc(list, func(a, b *item) int {
-		return cmp.Or(
-			compareBool(m.late(now, a), m.late(now, b)),
-			cmp.Compare(m.latest(now, a), m.latest(now, b)),
-			cmp.Compare(a.order, b.order),
-		)
-	})
-	return list
-}
-
-func (m *Machine) late(now clock.Millis, i *item) bool { return now > m.latest(now, i) }
-
-// latest is when an item must run on at the latest to be in time.
-func (m *Machine) latest(now clock.Millis, i *item) clock.Millis {
-	whole := m.meanRun
-	if m.perToken > 0 && i.Tokens > 0 {
-		whole = clock.Millis(m.perToken * float64(i.Tokens))
-	}
-	ran := i.ran
-	if i.runner != "" {
-		ran += now - i.began
-	}
-	return i.Due - max(whole-ran, 0)
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
--- a/lab/pkg/replay/config.go
+++ b/lab/pkg/replay/config.go
@@ -64,6 +64,8 @@
 type Item struct {
 	At  clock.Millis
 	Due clock.Millis
+	// Run is how long it runs, a span; 0 takes the load's Run and says nothing of its size.
+	Run clock.Millis
 }
 
 // Outage is a span in which no gateway takes requests. Callers notice after ComeBack
--- a/lab/pkg/replay/play.go
+++ b/lab/pkg/replay/play.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"math"
+	"math/rand/v2"
 	"slices"
 
 	"toucanhinge.example/common/pkg/clock"
@@ -12,6 +14,13 @@
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
+const (
+	// jobItems is the number of items in a job on the users' sheets.
+	jobItems = 10
+	// lengthSpread is the spread of the items' lengths there, of a log-normal distribution.
+	lengthSpread = 0.4
+)
+
 // meet lets a new request reach a gateway, if any is there.
 func (w *world) meet(r *request) {
 	outage := w.config.Outage
@@ -139,7 +148,7 @@
 
 func (w *world) addItem(index uint32, i Item) {
 	key := dispatch.Key{Job: "j", Index: index}
-	w.left[key], w.due[key] = w.config.Run, i.Due
+	w.left[key], w.due[key] = cmp.Or(i.Run, w.config.Run), i.Due
 	if !w.coreGone {
 		w.queueItem(key, i)
 	}
@@ -150,7 +159,7 @@
 	if w.config.FirstCome {
 		due = i.At + 1_000_000
 	}
-	w.dispatch.Add(dispatch.Item{Key: key, Due: due, Expires: i.At + 10_000_000})
+	w.dispatch.Add(dispatch.Item{Key: key, Due: due, Expires: i.At + 10_000_000, Tokens: int64(i.Run)})
 }
 
 // items starts and pauses batch items.
@@ -197,6 +206,20 @@
 	}
 }
 
+// Mixed draws items like Steady, in jobs of ten, whose running times differ: between a
+// third of the mean and twice as long, like the lengths on the users' sheets.
+func Mixed(seed uint64, until clock.Millis, rate float64, run, span clock.Millis) []Item {
+	random := rand.New(rand.NewPCG(seed, 3))
+	var items []Item
+	for _, at := range Arrivals(seed, until, Step{0, rate / jobItems}) {
+		for range jobItems {
+			whole := clock.Millis(float64(run) * min(max(math.Exp(lengthSpread*random.NormFloat64()), 0.33), 2))
+			items = append(items, Item{At: at, Due: at + span, Run: whole})
+		}
+	}
+	return items
+}
+
 // Steady draws items of a job rate that doesn't change, due after a span.
 func Steady(seed uint64, until clock.Millis, rate float64, span clock.Millis) []Item {
 	var items []Item
