--- a/control/pkg/core/fleet.go
+++ b/control/pkg/core/fleet.go
@@ -68,6 +68,23 @@
 	return f.runners
 }
 
+// restarted lists the runners of a new list that started again under their id.
+func (f *fleet) restarted(runners []*toucanhingev1.Runner) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	born := make(map[string]int64, len(f.runners))
+	for _, r := range f.runners {
+		born[r.GetId()] = r.GetBornMs()
+	}
+	var ids []string
+	for _, r := range runners {
+		if before, known := born[r.GetId()]; known && before != r.GetBornMs() {
+			ids = append(ids, r.GetId())
+		}
+	}
+	return ids
+}
+
 // setRunners takes over a new list, and says whether it differs.
 func (f *fleet) setRunners(runners []*toucanhingev1.Runner) bool {
 	slices.SortFunc(runners, func(a, b *toucanhingev1.Runner) int { return strings.Compare(a.GetId(), b.GetId()) })
--- a/control/pkg/core/fleet_test.go
+++ b/control/pkg/core/fleet_test.go
@@ -270,3 +270,17 @@
 	}
 	return answer.Msg.GetOutcome(), nil
 }
+
+// A runner crashes and starts again under its id. The list shows another birth, and nothing
+// else that differs.
+func TestARunnerThatStartedAgainIsNoticed(t *testing.T) {
+	f := newFleet()
+	born := func(at int64) []*toucanhingev1.Runner {
+		return []*toucanhingev1.Runner{{Id: "a", BornMs: at}, {Id: "b", BornMs: 5}}
+	}
+	require.Empty(t, f.restarted(born(1)), "both are new")
+	require.True(t, f.setRunners(born(1)))
+	require.Empty(t, f.restarted(born(1)))
+	require.Equal(t, []string{"a"}, f.restarted(born(2)))
+	require.True(t, f.setRunners(born(2)))
+}
--- a/control/pkg/core/lead.go
+++ b/control/pkg/core/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -116,6 +117,9 @@
 		return
 	}
 	c.metrics.directory.WithLabelValues("read").Inc()
+	if ids := c.fleet.restarted(runners); len(ids) > 0 {
+		level.Info(c.config.Logger).Log(logs.KeyEvent, "runners-restarted", "runners", strings.Join(ids, " "))
+	}
 	if c.fleet.setRunners(runners) {
 		leaving := 0
 		for _, r := range runners {
--- a/gateway/pkg/place/place.go
+++ b/gateway/pkg/place/place.go
@@ -92,38 +92,29 @@
 	blocked map[string]clock.Millis
 	doubted map[string]clock.Millis
 	hold    map[string]float64
-	heard   map[string]clock.Millis
 }
 
 // New makes a machine that knows no runner.
 func New(config Config) *Machine {
 	return &Machine{
 		config: config, blocked: map[string]clock.Millis{}, doubted: map[string]clock.Millis{}, hold: map[string]float64{},
-		heard: map[string]clock.Millis{},
 	}
 }
 
-// SetRunners replaces the known runners.
+// SetRunners replaces the known runners. What was learnt of one that is gone, or that
+// started again under its id, is forgotten.
 func (m *Machine) SetRunners(runners []*toucanhingev1.Runner) {
-	m.runners = runners
-	known := func(id string) bool {
-		return slices.ContainsFunc(runners, func(r *toucanhingev1.Runner) bool { return r.GetId() == id })
-	}
-	for id := range m.blocked {
-		if !known(id) {
-			delete(m.blocked, id)
-		}
-	}
-	for id := range m.doubted {
-		if !known(id) {
-			delete(m.doubted, id)
-		}
+	born := make(map[string]int64, len(runners))
+	for _, r := range runners {
+		born[r.GetId()] = r.GetBornMs()
 	}
-	for id := range m.heard {
-		if !known(id) {
-			delete(m.heard, id)
+	for _, r := range m.runners {
+		if now, known := born[r.GetId()]; !known || now != r.GetBornMs() {
+			delete(m.blocked, r.GetId())
+			delete(m.doubted, r.GetId())
 		}
 	}
+	m.runners = runners
 }
 
 // Block keeps requests off a runner until a time: it refused one, or can't be
@@ -137,12 +128,6 @@
 	m.doubted[id] = max(m.doubted[id], until)
 }
 
-// Heard notes that something came from a runner.
-func (m *Machine) Heard(now clock.Millis, id string) { m.heard[id] = now }
-
-// HeardAt is when something came from a runner last, 0 for never.
-func (m *Machine) HeardAt(id string) clock.Millis { return m.heard[id] }
-
 // Held notes how long a request held its place, a span.
 func (m *Machine) Held(service string, span clock.Millis) {
 	if m.hold[service] == 0 {
--- a/gateway/pkg/place/place_test.go
+++ b/gateway/pkg/place/place_test.go
@@ -167,3 +167,28 @@
 		}
 	})
 }
+
+// A runner failed calls, so it is avoided; then it crashes and starts again under its id. It
+// is another one, and may be as good as any.
+func TestWhatWasLearntOfARunnerEndsWithIt(t *testing.T) {
+	m := New(Config{DataCentre: "here"})
+	runners := func(born int64) []*toucanhingev1.Runner {
+		return []*toucanhingev1.Runner{
+			{Id: "a", Service: "llm", Slots: 8, DataCentre: "here", BornMs: born},
+			{Id: "b", Service: "llm", Slots: 8, DataCentre: "there", BornMs: 5},
+		}
+	}
+	choose := func() string {
+		choice, ok := m.Choose(10, Ask{Service: "llm"}, func(string) Load { return Load{} })
+		require.True(t, ok)
+		return choice.Runner.GetId()
+	}
+	m.SetRunners(runners(1))
+	m.Doubt("a", 1_000)
+	m.Block("a", 1_000)
+	require.Equal(t, "b", choose())
+	m.SetRunners(runners(1))
+	require.Equal(t, "b", choose())
+	m.SetRunners(runners(2))
+	require.Equal(t, "a", choose())
+}
