--- a/control/pkg/carrier/carrier.go
+++ b/control/pkg/carrier/carrier.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +29,8 @@
 	takeTime = 150 * time.Millisecond
 	// mostGateways bounds the gateways that are asked to take one call.
 	mostGateways = 2
+	// forgetEvery is how often connections to gateways that are gone are looked for.
+	forgetEvery clock.Millis = 1_000
 	// numberBits leaves room for a million calls in a millisecond between two starts.
 	numberBits = 20
 )
@@ -65,6 +66,9 @@
 	lines   map[string]line
 	// number is that of the last call.
 	number uint64
+	// known is the list of gateways by which lines were forgotten last, at forgotAt.
+	known    []Gateway
+	forgotAt clock.Millis
 }
 
 // New makes a carrier.
@@ -104,20 +108,31 @@
 
 // choose takes a place at a gateway; leave gives it back.
 func (c *Carrier) choose(dataCentre string) (address string, found bool) {
-	gateways := slices.Clone(c.config.Gateways())
-	rand.Shuffle(len(gateways), func(i, j int) { gateways[i], gateways[j] = gateways[j], gateways[i] })
+	gateways := c.config.Gateways()
+	now := c.config.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.forget(gateways)
-	return c.chooser.choose(c.config.Clock.Now(), gateways, dataCentre)
+	if now-c.forgotAt >= forgetEvery || !sameList(gateways, c.known) {
+		c.forgotAt, c.known = now, gateways
+		c.forget(gateways)
+	}
+	return c.chooser.choose(now, gateways, dataCentre, rand.IntN(max(len(gateways), 1)))
+}
+
+// sameList says whether two lists are one in memory: the list is made anew when it changes.
+func sameList(a, b []Gateway) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 // forget drops the connections to gateways that are gone; addresses change with each
 // replaced VM. The caller holds the lock.
 func (c *Carrier) forget(present []Gateway) {
+	known := make(map[string]bool, len(present))
+	for _, g := range present {
+		known[g.Address] = true
+	}
 	for address, l := range c.lines {
-		known := slices.ContainsFunc(present, func(g Gateway) bool { return g.Address == address })
-		if !known && c.chooser.calls[address] == 0 {
+		if !known[address] && c.chooser.calls[address] == 0 {
 			delete(c.lines, address)
 			l.http.CloseIdleConnections()
 		}
--- a/control/pkg/carrier/choose.go
+++ b/control/pkg/carrier/choose.go
@@ -30,10 +30,12 @@
 }
 
 // choose takes a place at one of the gateways; leave gives it back. Of equal ones the
-// first is taken.
-func (c *chooser) choose(now clock.Millis, gateways []Gateway, dataCentre string) (address string, found bool) {
+// first from an offset on is taken.
+func (c *chooser) choose(now clock.Millis, gateways []Gateway, dataCentre string, offset int) (address string, found bool) {
 	best := -1
-	for i, g := range gateways {
+	for n := range gateways {
+		i := (n + offset) % len(gateways)
+		g := gateways[i]
 		if c.suspects[g.Address] > now {
 			continue
 		}
--- a/control/pkg/carrier/choose_test.go
+++ b/control/pkg/carrier/choose_test.go
@@ -28,7 +28,7 @@
 			if c.prepare != nil {
 				c.prepare(m)
 			}
-			address, found := m.choose(10, c.gateways, "here")
+			address, found := m.choose(10, c.gateways, "here", 0)
 			require.Equal(t, c.want, address)
 			require.Equal(t, c.want != "", found)
 		})
@@ -41,7 +41,7 @@
 	m := newChooser()
 	gateways := []Gateway{{"a", "here"}, {"b", "here"}, {"c", "there"}}
 	for range 6 {
-		_, found := m.choose(0, gateways, "here")
+		_, found := m.choose(0, gateways, "here", 0)
 		require.True(t, found)
 	}
 	require.Equal(t, map[string]int{"a": 3, "b": 3}, m.calls)
--- a/control/pkg/core/core.go
+++ b/control/pkg/core/core.go
@@ -86,9 +86,12 @@
 	fleet   *fleet
 	// acquaintances are the members that this VM knew last.
 	acquaintances *acquaintances
-	// changed wakes those who wait for news of the state.
-	changed *signal
-	metrics *metrics
+	// tables wakes those who wait for a new routing table, and results those who wait for
+	// results of a job.
+	tables   *signal
+	results  *topics
+	confirms *confirms
+	metrics  *metrics
 
 	identity string
 	cancel   context.CancelFunc
@@ -101,7 +104,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("data folder: %w", err)
 	}
-	c := &Core{config: config, identity: identity, fleet: newFleet(), changed: newSignal(), metrics: newMetrics(config.Registerer)}
+	c := &Core{config: config, identity: identity, fleet: newFleet(), tables: newSignal(), results: newTopics(), metrics: newMetrics(config.Registerer)}
+	c.confirms = newConfirms(func(ctx context.Context) error { return c.group.Read(ctx) })
 	c.acquaintances = recall(filepath.Join(config.Folder, "acquaintances"), config.Logger)
 	config.Core.SetAddresses(c.acquaintances.withSeeds(config.Seeds()))
 	folder := filepath.Join(config.Folder, "core")
@@ -202,7 +206,16 @@
 
 func (c *Core) notify(change systemstate.Change) {
 	c.driver.Notify(change)
-	c.changed.fire()
+	switch change.Kind {
+	case systemstate.TableReplaced:
+		c.tables.fire()
+	case systemstate.ItemListed, systemstate.JobEnded:
+		c.results.fire(change.Job)
+	case systemstate.Reloaded:
+		c.tables.fire()
+		c.results.fireAll()
+	default:
+	}
 }
 
 // errAnswers tells that a command was logged by a program that counts otherwise.
@@ -243,7 +256,7 @@
 func (c *Core) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTime)
 	defer cancel()
-	if err := c.group.Read(ctx); err != nil {
+	if err := c.confirms.join(ctx); err != nil {
 		return fmt.Errorf("confirm a read: %w", err)
 	}
 	return nil
--- a/control/pkg/core/fleet.go
+++ b/control/pkg/core/fleet.go
@@ -27,6 +27,8 @@
 	known    bool
 	runners  []*toucanhingev1.Runner
 	gateways map[string]gateway
+	// carrying lists them for calls of items, nil if it must be made anew.
+	carrying []carrier.Gateway
 	// vms are the VMs of the core that announced themselves, by address.
 	vms   map[string]announced
 	cores []string
@@ -59,6 +61,7 @@
 	f.known = false
 	f.runners = nil
 	f.gateways = map[string]gateway{}
+	f.carrying = nil
 	f.vms = map[string]announced{}
 }
 
@@ -152,6 +155,7 @@
 
 func (f *fleet) bump() {
 	f.revision++
+	f.carrying = nil
 	f.changed.fire()
 }
 
@@ -171,15 +175,16 @@
 	return v
 }
 
-// carriers lists the gateways for calls of items.
+// carriers lists the gateways for calls of items; the list must not be changed.
 func (f *fleet) carriers() []carrier.Gateway {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var gateways []carrier.Gateway
-	for _, g := range f.gateways {
-		gateways = append(gateways, carrier.Gateway{Address: g.address, DataCentre: g.dataCentre})
+	if f.carrying == nil {
+		for _, g := range f.gateways {
+			f.carrying = append(f.carrying, carrier.Gateway{Address: g.address, DataCentre: g.dataCentre})
+		}
 	}
-	return gateways
+	return f.carrying
 }
 
 // digestAddresses lists where the gateways take load digests.
--- a/control/pkg/core/service.go
+++ b/control/pkg/core/service.go
@@ -36,7 +36,7 @@
 	timer := time.NewTimer(wait(m.GetWaitMs()))
 	defer timer.Stop()
 	for {
-		state, fleet := c.changed.next(), c.fleet.changed.next()
+		state, fleet := c.tables.next(), c.fleet.changed.next()
 		answer := &toucanhingev1.AttendResponse{Fleet: c.fleet.view(m.GetHaveFleet(), c.config.Address)}
 		if t := c.table(); t.GetVersion() > m.GetHaveVersion() {
 			answer.Table = t
@@ -120,7 +120,7 @@
 	timer := time.NewTimer(wait(r.Msg.GetWaitMs()))
 	defer timer.Stop()
 	for {
-		changed := c.changed.next()
+		changed := c.results.next(r.Msg.GetJob())
 		answer, err := c.listed(r.Msg)
 		if err != nil {
 			return nil, connect.NewError(connect.CodeUnavailable, err)
