Learn how far items' sizes tell their running time

Cause: items were expected to run in proportion to their tokens. On the large deployment these are mostly prompt, which engines read in no time: over 911 finished items the tokens and the length of the answer correlate with 0.05. Long items were planned as short ones and the other way round. The slope between the logarithms of size and running time is learnt; with 0 all are taken for the mean. TestSizesAreBelievedAsFarAsTheyTell.

--- a/control/pkg/dispatch/machine.go
+++ b/control/pkg/dispatch/machine.go
@@ -78,6 +78,9 @@
 	began     clock.Millis
 	ran       clock.Millis
 	notBefore clock.Millis
+	// whole is its expected running time, judged by so many measured runs and one.
+	whole  clock.Millis
+	judged int
 }
 
 // Machine keeps the items that wait or run.
@@ -98,7 +101,7 @@
 func New() *Machine {
 	return &Machine{
 		items: map[Key]*item{}, perJob: map[string]int{}, running: map[string][]*item{}, blocked: map[string]clock.Millis{},
-		expires: never, measured: measured{meanRun: firstRun},
+		expires: never,
 	}
 }
 
@@ -125,6 +128,14 @@
 	return 0
 }
 
+// Left is how long an item is expected to run on, a span.
+func (m *Machine) Left(now clock.Millis, key Key) clock.Millis {
+	if i := m.items[key]; i != nil {
+		return m.measured.left(now, i)
+	}
+	return 0
+}
+
 // Drop forgets an item, and says whether it ran.
 func (m *Machine) Drop(key Key) bool {
 	i := m.items[key]
--- a/control/pkg/dispatch/order.go
+++ b/control/pkg/dispatch/order.go
@@ -7,50 +7,8 @@
 	"toucanhinge.example/common/pkg/clock"
 )
 
-const (
-	// firstRun is the running time that is expected of an item before any has
-	// been measured.
-	firstRun clock.Millis = 3_000
-	// runWeight is the weight of the newest measured run in the mean: the last
-	// ten or so count.
-	runWeight = 0.1
-	// never is later than any moment.
-	never clock.Millis = math.MaxInt64
-)
-
-// measured is what the runs of finished items tell of those to come.
-type measured struct {
-	meanRun clock.Millis
-	// perToken is the mean running time for a token in milliseconds, 0 until an item has
-	// been measured.
-	perToken float64
-}
-
-// note takes up the running time of an item, a span.
-func (m *measured) note(i *item, whole clock.Millis) {
-	m.meanRun += clock.Millis(runWeight * float64(whole-m.meanRun))
-	if i.Tokens <= 0 {
-		return
-	}
-	perToken := float64(whole) / float64(i.Tokens)
-	if m.perToken == 0 {
-		m.perToken = perToken
-	}
-	m.perToken += runWeight * (perToken - m.perToken)
-}
-
-// left is how long an item still has to run, a span.
-func (m *measured) left(now clock.Millis, i *item) clock.Millis {
-	whole := m.meanRun
-	if m.perToken > 0 && i.Tokens > 0 {
-		whole = clock.Millis(m.perToken * float64(i.Tokens))
-	}
-	ran := i.ran
-	if i.runner != "" {
-		ran += now - i.began
-	}
-	return max(whole-ran, 0)
-}
+// never is later than any moment.
+const never clock.Millis = math.MaxInt64
 
 // order says which item goes first.
 type order struct {
