--- a/lab/pkg/leadload/member.go
+++ b/lab/pkg/leadload/member.go
@@ -82,6 +82,19 @@
 	go exchange.Run(ctx)
 	vm.Start()
 	<-ctx.Done()
+	return m.writeHeap()
+}
+
+// writeHeap writes what the process holds in memory beside its processor profile.
+func (m Member) writeHeap() error {
+	file, err := os.Create(m.Profile + ".heap")
+	if err != nil {
+		return fmt.Errorf("heap profile: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	if err := pprof.WriteHeapProfile(file); err != nil {
+		return fmt.Errorf("heap profile: %w", err)
+	}
 	return nil
 }
 
