--- a/common/pkg/digest/relay_test.go
+++ b/common/pkg/digest/relay_test.go
@@ -128,8 +128,8 @@
 }
 
 // work begins or ends something at a runner drawn by lot.
-func (f *fleet) work(d *daemon, runners int) {
-	id := fmt.Sprintf("i-%08x", f.random.IntN(runners))
+func (f *fleet) work(d *daemon) {
+	id := fmt.Sprintf("i-%08x", f.random.IntN(fleetRunners))
 	own := d.table.Own(id)
 	change := occupancy.Load{Online: 1}
 	if own.Online > 0 && f.random.IntN(2) == 0 {
@@ -140,9 +140,9 @@
 }
 
 // agree requires that all daemons that are there see the same, and the truth.
-func (f *fleet) agree(runners int) {
+func (f *fleet) agree() {
 	f.t.Helper()
-	for r := range runners {
+	for r := range fleetRunners {
 		id := fmt.Sprintf("i-%08x", r)
 		truth := 0
 		for _, d := range f.daemons {
@@ -166,11 +166,11 @@
 	f := newFleet(t, 5, 12)
 	f.run(2 * relaySilence)
 	for range 500 {
-		f.work(f.any(), fleetRunners)
+		f.work(f.any())
 		f.run(2)
 	}
 	f.run(4*relayEvery + 4)
-	f.agree(fleetRunners)
+	f.agree()
 }
 
 // One datagram in ten is lost. What only tells of changes is then missing somewhere, and made
@@ -179,12 +179,12 @@
 	f := newFleet(t, 5, 12)
 	f.lost = 0.1
 	for range 300 {
-		f.work(f.any(), fleetRunners)
+		f.work(f.any())
 		f.run(2)
 	}
 	f.lost = 0
 	f.run(2*wholeEvery + 4*relayEvery)
-	f.agree(fleetRunners)
+	f.agree()
 }
 
 // The daemon that relays for a data centre loses power. The next one takes over; until then
@@ -197,20 +197,20 @@
 	first.gone = true
 	worker := f.daemons["10.0.0.07:1"]
 	for range 20 {
-		f.work(worker, fleetRunners)
+		f.work(worker)
 		f.run(2)
 	}
 	f.run(relaySilence + 2*signEvery + occupancy.Expiry)
 	require.NotZero(t, f.daemons["10.0.0.01:1"].relay.acts)
-	f.agree(fleetRunners)
+	f.agree()
 
 	first.gone = false
 	f.run(occupancy.Expiry)
-	f.work(worker, fleetRunners)
+	f.work(worker)
 	f.run(2*wholeEvery + 4*relayEvery)
 	require.NotZero(t, first.relay.acts)
 	require.Zero(t, f.daemons["10.0.0.01:1"].relay.acts, "one relays")
-	f.agree(fleetRunners)
+	f.agree()
 }
 
 // The leader runs items in one data centre, and gateways in all others carry them. They end
--- a/lab/cmd/leadload/main.go
+++ b/lab/cmd/leadload/main.go
@@ -34,15 +34,15 @@
 func main() {
 	var a arguments
 	arg.MustParse(&a)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := run(ctx, a); err != nil {
+	if err := run(a); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, a arguments) error {
+func run(a arguments) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	if a.Member == "" {
 		return play(ctx, a)
 	}
