--- a/common/pkg/digest/exchange.go
+++ b/common/pkg/digest/exchange.go
@@ -177,53 +177,6 @@
 	duties.Wait()
 }
 
-// pass relays between data centres, if it is this daemon's turn.
-func (x *Exchange) pass(ctx context.Context) {
-	ticker := time.NewTicker(signEvery.Duration())
-	defer ticker.Stop()
-	acting := false
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		x.mu.Lock()
-		parcels := x.relay.turn(x.config.Clock.Now(), x.table)
-		acts := x.relay.acts > 0
-		x.mu.Unlock()
-		if acts != acting {
-			acting = acts
-			level.Info(x.config.Logger).Log(logs.KeyEvent, "digest-relay", "acts", acts, "data-centre", x.config.DataCentre)
-			// One that doesn't relay only looks whether it has to.
-			every := signEvery
-			if acts {
-				every = relayEvery
-			}
-			ticker.Reset(every.Duration())
-		}
-		for _, p := range parcels {
-			x.sendTo(p.to, p.digest)
-		}
-	}
-}
-
-func (x *Exchange) sendTo(to []string, d *toucanhingev1.LoadDigest) {
-	data, err := proto.Marshal(d)
-	if err != nil {
-		level.Error(x.config.Logger).Log(logs.KeyEvent, "digest-unencodable", logs.KeyError, err)
-		return
-	}
-	x.mu.Lock()
-	all := x.all
-	x.mu.Unlock()
-	for _, address := range to {
-		if peer, known := all[address]; known {
-			x.write(data, peer)
-		}
-	}
-}
-
 // write sends one datagram. One that can't be sent is dropped: the next replaces it.
 func (x *Exchange) write(data []byte, peer netip.AddrPort) {
 	if _, err := x.socket.WriteToUDPAddrPort(data, peer); err != nil {
@@ -365,21 +318,3 @@
 		}
 	}
 }
-
-// take takes over a digest.
-func (x *Exchange) take(from string, d *toucanhingev1.LoadDigest) {
-	now := x.config.Clock.Now()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if !d.GetRelays() {
-		if x.relay.notice(from, d.GetSource()) {
-			x.table.Digest(now, d)
-		}
-		return
-	}
-	for _, summary := range x.relay.receive(now, from, d) {
-		if summary.GetDataCentre() != x.config.DataCentre {
-			x.table.Summary(now, summary)
-		}
-	}
-}
--- a/control/pkg/dispatch/fill.go
+++ b/control/pkg/dispatch/fill.go
@@ -45,7 +45,7 @@
 			services := around.Services(i.Key.Job)
 			name := strings.Join(services, " ")
 			if f = groups[name]; f == nil {
-				f = &front{most: rooms.free(services), order: order}
+				f = newFront(rooms.free(services), order)
 				groups[name] = f
 			}
 			ofJob[i.Key.Job] = f
@@ -54,45 +54,30 @@
 	}
 	var list []*item
 	for _, f := range groups {
-		list = append(list, f.items...)
+		list = append(list, f.items.list...)
 	}
 	slices.SortFunc(list, order.compare)
 	return list
 }
 
-// front keeps the first of the items that are offered, in a heap with the last of them on
-// top.
+// front keeps the first of the items that are offered, with the last of them on top of a heap.
 type front struct {
 	most  int
 	order order
-	items []*item
+	items ordered[*item]
 }
 
-func (f *front) Len() int           { return len(f.items) }
-func (f *front) Less(a, b int) bool { return f.order.compare(f.items[a], f.items[b]) > 0 }
-func (f *front) Swap(a, b int)      { f.items[a], f.items[b] = f.items[b], f.items[a] }
-
-// Push implements heap.Interface.
-func (f *front) Push(x any) {
-	if i, ok := x.(*item); ok {
-		f.items = append(f.items, i)
-	}
-}
-
-// Pop implements heap.Interface.
-func (f *front) Pop() any {
-	last := f.items[len(f.items)-1]
-	f.items = f.items[:len(f.items)-1]
-	return last
+func newFront(most int, order order) *front {
+	return &front{most: most, order: order, items: ordered[*item]{before: func(a, b *item) bool { return order.compare(a, b) > 0 }}}
 }
 
 func (f *front) offer(i *item) {
 	switch {
-	case len(f.items) < f.most:
-		heap.Push(f, i)
-	case f.most > 0 && f.order.compare(i, f.items[0]) < 0:
-		f.items[0] = i
-		heap.Fix(f, 0)
+	case f.items.Len() < f.most:
+		heap.Push(&f.items, i)
+	case f.most > 0 && f.order.compare(i, f.items.list[0]) < 0:
+		f.items.list[0] = i
+		heap.Fix(&f.items, 0)
 	}
 }
 
@@ -108,7 +93,7 @@
 func (p *place) take() {
 	p.free--
 	p.room.free--
-	heap.Fix(p.room, 0)
+	heap.Fix(&p.room.places, 0)
 }
 
 func (p *place) before(other *place) bool {
@@ -122,25 +107,7 @@
 // runner with the most room, a near one if there is as much.
 type room struct {
 	free   int
-	places []*place
-}
-
-func (r *room) Len() int           { return len(r.places) }
-func (r *room) Less(a, b int) bool { return r.places[a].before(r.places[b]) }
-func (r *room) Swap(a, b int)      { r.places[a], r.places[b] = r.places[b], r.places[a] }
-
-// Push implements heap.Interface.
-func (r *room) Push(x any) {
-	if p, ok := x.(*place); ok {
-		r.places = append(r.places, p)
-	}
-}
-
-// Pop implements heap.Interface.
-func (r *room) Pop() any {
-	last := r.places[len(r.places)-1]
-	r.places = r.places[:len(r.places)-1]
-	return last
+	places ordered[*place]
 }
 
 // rooms are the free places by service.
@@ -164,7 +131,7 @@
 		if r[s] == nil || r[s].free == 0 {
 			continue
 		}
-		if p := r[s].places[0]; found == nil || p.before(found) {
+		if p := r[s].places.list[0]; found == nil || p.before(found) {
 			found = p
 		}
 	}
@@ -187,15 +154,15 @@
 			continue
 		}
 		if all[r.GetService()] == nil {
-			all[r.GetService()] = &room{}
+			all[r.GetService()] = &room{places: ordered[*place]{before: (*place).before}}
 		}
 		at := all[r.GetService()]
-		at.places = append(at.places, &place{runner: r, free: left, near: around.Near(r), room: at})
+		at.places.Push(&place{runner: r, free: left, near: around.Near(r), room: at})
 		at.free += left
 		free += left
 	}
 	for _, at := range all {
-		heap.Init(at)
+		heap.Init(&at.places)
 	}
 	return all, free
 }
