Keep the waiting items apart from those that run

Cause: a decision went through all items of a map to find those that wait: 5.0 ms with 30,000 items on 144 runners beside other work, of which a change of the load asks up to 200 times a second. The property that places are never overfilled holds over 3,000 drawn runs.

--- a/control/pkg/dispatch/fill.go
+++ b/control/pkg/dispatch/fill.go
@@ -24,6 +24,7 @@
 			continue
 		}
 		p.take()
+		m.unwait(i)
 		i.runner, i.began = p.runner.GetId(), now
 		m.running[i.runner] = append(m.running[i.runner], i)
 		actions.Start = append(actions.Start, Start{Key: i.Key, Runner: p.runner})
@@ -36,8 +37,8 @@
 func (m *Machine) first(now clock.Millis, around Surroundings, order order, rooms rooms) []*item {
 	groups := map[string]*front{}
 	ofJob := map[string]*front{}
-	for _, i := range m.items {
-		if i.runner != "" || i.notBefore > now {
+	for _, i := range m.waiting {
+		if i.notBefore > now {
 			continue
 		}
 		f, known := ofJob[i.Key.Job]
--- a/control/pkg/dispatch/machine.go
+++ b/control/pkg/dispatch/machine.go
@@ -80,6 +80,8 @@
 	began     clock.Millis
 	ran       clock.Millis
 	notBefore clock.Millis
+	// at is its index among the waiting items, -1 while it runs.
+	at int
 	// whole is its expected running time, judged by so many measured runs and one.
 	whole  clock.Millis
 	judged int
@@ -88,6 +90,8 @@
 // Machine keeps the items that wait or run.
 type Machine struct {
 	items map[Key]*item
+	// waiting are the items that don't run, in no order.
+	waiting []*item
 	// perJob counts the items of each job.
 	perJob  map[string]int
 	order   uint64
@@ -113,7 +117,9 @@
 		return
 	}
 	m.order++
-	m.items[i.Key] = &item{Item: i, order: m.order}
+	added := &item{Item: i, order: m.order}
+	m.items[i.Key] = added
+	m.wait(added)
 	m.perJob[i.Key.Job]++
 	m.expires = min(m.expires, i.Expires)
 }
@@ -151,6 +157,7 @@
 
 func (m *Machine) forget(i *item) {
 	m.leave(i)
+	m.unwait(i)
 	delete(m.items, i.Key)
 	m.perJob[i.Key.Job]--
 	if m.perJob[i.Key.Job] == 0 {
@@ -195,10 +202,7 @@
 
 // Counts are the items that wait and that run.
 func (m *Machine) Counts() (waiting, running int) {
-	for _, list := range m.running {
-		running += len(list)
-	}
-	return len(m.items) - running, running
+	return len(m.waiting), len(m.items) - len(m.waiting)
 }
 
 // Pressed says whether more items wait than can be in time.
@@ -213,6 +217,22 @@
 		delete(m.running, i.runner)
 	}
 	i.runner = ""
+	m.wait(i)
+}
+
+func (m *Machine) wait(i *item) {
+	i.at = len(m.waiting)
+	m.waiting = append(m.waiting, i)
+}
+
+// unwait takes an item out of those that wait; the last one takes its index.
+func (m *Machine) unwait(i *item) {
+	last := len(m.waiting) - 1
+	moved := m.waiting[last]
+	m.waiting[i.at], moved.at = moved, i.at
+	m.waiting[last] = nil
+	m.waiting = m.waiting[:last]
+	i.at = -1
 }
 
 // Step decides.
--- a/control/pkg/dispatch/pressure.go
+++ b/control/pkg/dispatch/pressure.go
@@ -36,10 +36,10 @@
 func (p *pressure) look(now clock.Millis, m *Machine, around Surroundings) {
 	p.measure(now, around)
 	work, slack, items := 0.0, 0.0, 0
-	for _, i := range m.items {
+	for _, i := range m.waiting {
 		left := m.measured.left(now, i)
 		spare := i.Due - left - now
-		if i.runner != "" || spare < 0 {
+		if spare < 0 {
 			continue
 		}
 		work += float64(left)
