Standard names: session, group commit, start limiter, GC tuner

The stream that a gateway and the leader share was a line, as in a log; the steps logged together a ledger. No change of behaviour; the event is carry-session-broken now.

--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -78,8 +78,8 @@
 	runs     map[dispatch.Key]*run
 	progress map[dispatch.Key]*progress
 	routes   *routes
-	pace     *pace
-	ledger   *ledger
+	limiter  *startLimiter
+	commits  *groupCommit
 	keptAt   clock.Millis
 	keeping  atomic.Bool
 	active   sync.WaitGroup
@@ -87,7 +87,7 @@
 
 // New makes a driver.
 func New(config Config) *Driver {
-	return &Driver{config: config, wake: make(chan struct{}, 1), ledger: &ledger{propose: config.Propose}}
+	return &Driver{config: config, wake: make(chan struct{}, 1), commits: &groupCommit{propose: config.Propose}}
 }
 
 // Notify tells a change of the state; it never blocks.
@@ -112,7 +112,7 @@
 	d.runs = map[dispatch.Key]*run{}
 	d.progress = map[dispatch.Key]*progress{}
 	d.routes = newRoutes(d.config.Machine)
-	d.pace = newPace()
+	d.limiter = newStartLimiter()
 	d.takeChanges()
 	d.takeEnded()
 	d.reload()
@@ -141,7 +141,7 @@
 	}
 	before := time.Now()
 	time.Sleep(early)
-	d.pace.note(clock.Millis((time.Since(before) - early).Milliseconds()))
+	d.limiter.note(clock.Millis((time.Since(before) - early).Milliseconds()))
 }
 
 func (d *Driver) takeChanges() []systemstate.Change {
@@ -196,10 +196,10 @@
 	d.giveUpLostRoutes(ctx, now)
 	d.keepProgress(ctx, now)
 	around := d.surroundings()
-	allowed := d.pace.allowed(now)
+	allowed := d.limiter.allowed(now)
 	around.MostStarts = &allowed
 	actions := d.machine.Step(now, around)
-	d.pace.spent(len(actions.Start))
+	d.limiter.spent(len(actions.Start))
 	d.act(ctx, actions)
 	waiting, running := d.machine.Counts()
 	d.config.Metrics.Waiting.Set(float64(waiting))
--- a/control/pkg/batchrun/ledger.go
+++ b/control/pkg/batchrun/group_commit.go
@@ -22,8 +22,8 @@
 
 var errUnanswered = errors.New("the command gave too few outcomes")
 
-// ledger logs steps on items, those that come together by one command.
-type ledger struct {
+// groupCommit logs steps on items, those that come together by one command.
+type groupCommit struct {
 	propose func(ctx context.Context, steps ...*toucanhingev1.SystemStep) ([]any, error)
 
 	mu      sync.Mutex
@@ -40,39 +40,39 @@
 }
 
 // log logs a step and returns its outcome.
-func (l *ledger) log(ctx context.Context, step *toucanhingev1.SystemStep) (any, error) {
+func (g *groupCommit) log(ctx context.Context, step *toucanhingev1.SystemStep) (any, error) {
 	entry := &logged{ctx: ctx, step: step, done: make(chan struct{})}
-	l.mu.Lock()
-	l.pending = append(l.pending, entry)
-	first := len(l.pending) == 1
-	l.mu.Unlock()
+	g.mu.Lock()
+	g.pending = append(g.pending, entry)
+	first := len(g.pending) == 1
+	g.mu.Unlock()
 	if first {
-		time.AfterFunc(logGather, l.flush)
+		time.AfterFunc(logGather, g.flush)
 	}
 	<-entry.done
 	return entry.answer, entry.err
 }
 
-func (l *ledger) flush() {
-	l.mu.Lock()
-	taken := l.pending
-	l.pending = nil
-	l.mu.Unlock()
+func (g *groupCommit) flush() {
+	g.mu.Lock()
+	taken := g.pending
+	g.pending = nil
+	g.mu.Unlock()
 	for len(taken) > 0 {
 		part := taken[:min(len(taken), mostSteps)]
 		taken = taken[len(part):]
-		l.command(part)
+		g.command(part)
 	}
 }
 
 // command logs some steps. The context is that of the time in which this process leads, and
 // the same for all.
-func (l *ledger) command(entries []*logged) {
+func (g *groupCommit) command(entries []*logged) {
 	steps := make([]*toucanhingev1.SystemStep, 0, len(entries))
 	for _, e := range entries {
 		steps = append(steps, e.step)
 	}
-	answers, err := l.propose(entries[0].ctx, steps...)
+	answers, err := g.propose(entries[0].ctx, steps...)
 	if err == nil && len(answers) != len(entries) {
 		err = errUnanswered
 	}
--- a/control/pkg/batchrun/ledger_test.go
+++ b/control/pkg/batchrun/group_commit_test.go
@@ -15,7 +15,7 @@
 func TestStepsThatComeTogetherAreLoggedTogether(t *testing.T) {
 	var mu sync.Mutex
 	commands := 0
-	l := &ledger{propose: func(_ context.Context, steps ...*toucanhingev1.SystemStep) ([]any, error) {
+	l := &groupCommit{propose: func(_ context.Context, steps ...*toucanhingev1.SystemStep) ([]any, error) {
 		mu.Lock()
 		defer mu.Unlock()
 		commands++
@@ -41,7 +41,7 @@
 }
 
 func TestAFailedCommandIsToldToEachStep(t *testing.T) {
-	l := &ledger{propose: func(context.Context, ...*toucanhingev1.SystemStep) ([]any, error) { return nil, errWire }}
+	l := &groupCommit{propose: func(context.Context, ...*toucanhingev1.SystemStep) ([]any, error) { return nil, errWire }}
 	_, err := l.log(t.Context(), &toucanhingev1.SystemStep{})
 	require.ErrorIs(t, err, errWire)
 	l.propose = func(context.Context, ...*toucanhingev1.SystemStep) ([]any, error) { return nil, nil }
--- a/control/pkg/batchrun/results.go
+++ b/control/pkg/batchrun/results.go
@@ -81,7 +81,7 @@
 // slow.
 func (d *Driver) insist(ctx context.Context, step *toucanhingev1.SystemStep) any {
 	for ctx.Err() == nil {
-		answer, err := d.ledger.log(ctx, step)
+		answer, err := d.commits.log(ctx, step)
 		if err == nil {
 			return answer
 		}
--- a/control/pkg/batchrun/pace.go
+++ b/control/pkg/batchrun/start_limiter.go
@@ -19,19 +19,19 @@
 	gatherStarts = 0.05
 )
 
-// pace decides how many items may begin, by how late this process's own decisions are: the
+// startLimiter decides how many items may begin, by how late this process's own decisions are: the
 // VM that decides also leads, and work that it can't keep up with must show as items that
 // begin later, not as a change of leader. It holds no clock.
-type pace struct {
+type startLimiter struct {
 	rate   float64
 	tokens float64
 	at     clock.Millis
 }
 
-func newPace() *pace { return &pace{rate: mostStarts} }
+func newStartLimiter() *startLimiter { return &startLimiter{rate: mostStarts} }
 
 // note takes up how late a decision began, a span.
-func (p *pace) note(lag clock.Millis) {
+func (p *startLimiter) note(lag clock.Millis) {
 	if lag > slowLag {
 		p.rate = max(p.rate*slower, leastStarts)
 		return
@@ -40,7 +40,7 @@
 }
 
 // allowed is how many items may begin now, one at least now and then.
-func (p *pace) allowed(now clock.Millis) int {
+func (p *startLimiter) allowed(now clock.Millis) int {
 	if p.at > 0 {
 		p.tokens += p.rate * float64(now-p.at) / 1_000
 	}
@@ -50,4 +50,4 @@
 }
 
 // spent notes that items began.
-func (p *pace) spent(starts int) { p.tokens -= float64(starts) }
+func (p *startLimiter) spent(starts int) { p.tokens -= float64(starts) }
--- a/control/pkg/batchrun/pace_test.go
+++ b/control/pkg/batchrun/start_limiter_test.go
@@ -12,7 +12,7 @@
 // quarter of a second. On one whose decisions come late fewer begin at a time, so that it
 // still leads; when it keeps up again, so does the pace.
 func TestItemsBeginNoFasterThanTheLeaderCanBear(t *testing.T) {
-	p := newPace()
+	p := newStartLimiter()
 	p.allowed(1)
 	begun := 0
 	for now := clock.Millis(6); now <= 251; now += 5 {
--- a/control/pkg/carrier/body.go
+++ b/control/pkg/carrier/body.go
@@ -20,10 +20,10 @@
 // body is one call that a gateway makes, and the body of its answer. Closing it before its
 // end makes the gateway break its call off.
 type body struct {
-	line   *line
-	number uint64
-	runner string
-	ctx    context.Context
+	session *session
+	number  uint64
+	runner  string
+	ctx     context.Context
 	// leave gives the gateway's place back.
 	leave func()
 	// news has room for one: something has come.
@@ -54,7 +54,7 @@
 	b.wake()
 }
 
-// fail ends the call: the line is gone.
+// fail ends the call: the session is gone.
 func (b *body) fail(err error) {
 	b.mu.Lock()
 	if b.err == nil && b.end == nil {
@@ -154,7 +154,7 @@
 }
 
 // release asks for the call's end; what the gateway holds still comes.
-func (b *body) release() { b.line.release(b.number) }
+func (b *body) release() { b.session.release(b.number) }
 
 // Close implements io.Closer.
 func (b *body) Close() error {
@@ -163,9 +163,9 @@
 		ended := b.end != nil || b.err != nil
 		b.mu.Unlock()
 		if !ended {
-			b.line.release(b.number)
+			b.session.release(b.number)
 		}
-		b.line.drop(b.number)
+		b.session.drop(b.number)
 		b.leave()
 	})
 	return nil
--- a/control/pkg/carrier/carrier.go
+++ b/control/pkg/carrier/carrier.go
@@ -72,12 +72,12 @@
 	// calls counts who made the calls.
 	calls *prometheus.CounterVec
 
-	mu      sync.Mutex
-	chooser *chooser
-	lines   map[string]*line
+	mu       sync.Mutex
+	chooser  *chooser
+	sessions map[string]*session
 	// number is that of the last call.
 	number uint64
-	// known is the list of gateways by which lines were forgotten last, at forgotAt.
+	// known is the list of gateways by which sessions were forgotten last, at forgotAt.
 	known    []Gateway
 	forgotAt clock.Millis
 	// emptySince is since when there is no gateway, 0 if there is one; askedAt is when it was
@@ -90,7 +90,7 @@
 	c := &Carrier{
 		// The numbers of an earlier start of this daemon are smaller.
 		number: uint64(config.Clock.Now()) << numberBits,
-		config: config, chooser: newChooser(), lines: map[string]*line{},
+		config: config, chooser: newChooser(), sessions: map[string]*session{},
 		calls: promauto.With(config.Registerer).NewCounterVec(prometheus.CounterOpts{
 			Name: "toucanhinge_items_carried_total", Help: "Items' calls by who made them, and those that a gateway didn't take.",
 		}, []string{"by"}),
@@ -169,9 +169,9 @@
 	for _, g := range present {
 		known[g.Address] = true
 	}
-	for address, l := range c.lines {
+	for address, l := range c.sessions {
 		if !known[address] && !l.busy() {
-			delete(c.lines, address)
+			delete(c.sessions, address)
 			go l.fail(errGone)
 		}
 	}
@@ -190,33 +190,33 @@
 	c.chooser.accuse(c.config.Clock.Now(), address)
 }
 
-// line is the line to a gateway, a new one if there is none that works.
-func (c *Carrier) line(address string) *line {
+// session is the one with a gateway, a new one if there is none that works.
+func (c *Carrier) session(address string) *session {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l, found := c.lines[address]
+	l, found := c.sessions[address]
 	if !found {
-		l = newLine(c.config.Source, address, c.config.HTTP(), func(l *line) { c.broken(address, l) })
-		c.lines[address] = l
+		l = newSession(c.config.Source, address, c.config.HTTP(), func(l *session) { c.broken(address, l) })
+		c.sessions[address] = l
 	}
 	return l
 }
 
-// broken forgets a line that ended.
-func (c *Carrier) broken(address string, l *line) {
+// broken forgets a session that ended.
+func (c *Carrier) broken(address string, l *session) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lines[address] == l {
-		delete(c.lines, address)
+	if c.sessions[address] == l {
+		delete(c.sessions, address)
 	}
 }
 
 // carry lets one gateway call the runner.
 func (c *Carrier) carry(ctx context.Context, address string, call runner.Call) (*runner.Answer, error) {
 	request := c.request(call)
-	l := c.line(address)
+	l := c.session(address)
 	b := &body{
-		line: l, number: request.GetCall(), runner: call.Runner.GetId(), ctx: ctx, leave: func() { c.leave(address) },
+		session: l, number: request.GetCall(), runner: call.Runner.GetId(), ctx: ctx, leave: func() { c.leave(address) },
 		news: make(chan struct{}, 1),
 	}
 	l.start(b, request)
--- a/control/pkg/carrier/carrier_test.go
+++ b/control/pkg/carrier/carrier_test.go
@@ -42,7 +42,7 @@
 }
 
 // Carry answers each call in a goroutine of its own, as the script says; an error of the script
-// breaks the line.
+// breaks the session.
 func (g *gateway) Carry(ctx context.Context, s *stream) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -133,7 +133,7 @@
 
 var errScript = connect.NewError(connect.CodeInternal, errors.New("the script ends"))
 
-// cut tells events, and then breaks the line.
+// cut tells events, and then breaks the session.
 func cut(list ...*toucanhingev1.CarryEvent) func(context.Context, teller) error {
 	return func(_ context.Context, tell teller) error {
 		if err := tell(list...); err != nil {
@@ -323,8 +323,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	require.Len(t, c.lines, 1)
-	require.Contains(t, c.lines, second.address)
+	require.Len(t, c.sessions, 1)
+	require.Contains(t, c.sessions, second.address)
 }
 
 // Items give way. The gateway is asked to end just their calls, all with one message, and
@@ -407,9 +407,9 @@
 	require.Less(t, g.commands-before, calls/2)
 }
 
-// The line to a gateway breaks under several calls. All of them end, none looks whole, and the
-// next call gets a new line.
-func TestABrokenLineEndsItsCalls(t *testing.T) {
+// The session to a gateway breaks under several calls. All of them end, none looks whole, and the
+// next call gets a new session.
+func TestABrokenSessionEndsItsCalls(t *testing.T) {
 	proceed := make(chan struct{})
 	g := startGateway(t, func(_ context.Context, tell teller) error {
 		if err := tell(taken, head(), data("x")); err != nil {
--- a/control/pkg/carrier/line.go
+++ b/control/pkg/carrier/session.go
@@ -20,10 +20,10 @@
 
 var errSilent = errors.New("nothing comes from the gateway")
 
-// line is the line to one gateway, over which it takes all calls and passes all answers on.
+// session is the stream shared with one gateway, over which it takes all calls and passes all answers on.
 // A stream for each call cost the leader of a large fleet three times the processor time,
 // most of it when a burst begins and hundreds of items give way at once.
-type line struct {
+type session struct {
 	source string
 	http   *http.Client
 	cancel context.CancelFunc
@@ -39,59 +39,59 @@
 	err      error
 }
 
-func newLine(source, address string, client *http.Client, broken func(*line)) *line {
+func newSession(source, address string, client *http.Client, broken func(*session)) *session {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &line{source: source, http: client, cancel: cancel, wake: make(chan struct{}, 1), calls: map[uint64]*body{}}
-	l.alive = time.AfterFunc(frameTime, func() { l.checkAlive(broken) })
+	s := &session{source: source, http: client, cancel: cancel, wake: make(chan struct{}, 1), calls: map[uint64]*body{}}
+	s.alive = time.AfterFunc(frameTime, func() { s.checkAlive(broken) })
 	stream := toucanhingev1connect.NewCarryServiceClient(
 		client, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)).Carry(ctx)
 	go func() {
-		if err := l.send(ctx, stream); err != nil {
-			l.fail(err)
-			broken(l)
+		if err := s.send(ctx, stream); err != nil {
+			s.fail(err)
+			broken(s)
 		}
 	}()
 	go func() {
-		l.fail(l.receive(stream))
-		broken(l)
+		s.fail(s.receive(stream))
+		broken(s)
 	}()
-	return l
+	return s
 }
 
 type commandStream = connect.BidiStreamForClient[toucanhingev1.CarryCommands, toucanhingev1.CarryEvents]
 
 // send sends commands, all that wait with one message.
-func (l *line) send(ctx context.Context, out *commandStream) error {
+func (s *session) send(ctx context.Context, out *commandStream) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-l.wake:
+		case <-s.wake:
 		}
-		l.mu.Lock()
-		commands := &toucanhingev1.CarryCommands{Source: l.source, Starts: l.starts, Releases: l.releases}
-		l.starts, l.releases = nil, nil
-		l.mu.Unlock()
+		s.mu.Lock()
+		commands := &toucanhingev1.CarryCommands{Source: s.source, Starts: s.starts, Releases: s.releases}
+		s.starts, s.releases = nil, nil
+		s.mu.Unlock()
 		if err := out.Send(commands); err != nil {
 			return errors.WithMessage(errCut, err.Error())
 		}
 	}
 }
 
-// receive hands out what the gateway tells, until the line breaks.
-func (l *line) receive(in *commandStream) error {
+// receive hands out what the gateway tells, until the session breaks.
+func (s *session) receive(in *commandStream) error {
 	for {
 		m, err := in.Receive()
 		if err != nil {
 			return errors.WithMessage(errCut, err.Error())
 		}
-		l.alive.Reset(frameTime)
-		l.mu.Lock()
+		s.alive.Reset(frameTime)
+		s.mu.Lock()
 		bodies := make([]*body, len(m.GetEvents()))
 		for i, event := range m.GetEvents() {
-			bodies[i] = l.calls[event.GetCall()]
+			bodies[i] = s.calls[event.GetCall()]
 		}
-		l.mu.Unlock()
+		s.mu.Unlock()
 		for i, event := range m.GetEvents() {
 			if bodies[i] != nil {
 				bodies[i].push(event)
@@ -101,74 +101,74 @@
 }
 
 // checkAlive runs when nothing has come for too long. Without calls nothing has to.
-func (l *line) checkAlive(broken func(*line)) {
-	l.mu.Lock()
-	calls := len(l.calls)
-	l.mu.Unlock()
+func (s *session) checkAlive(broken func(*session)) {
+	s.mu.Lock()
+	calls := len(s.calls)
+	s.mu.Unlock()
 	if calls == 0 {
 		return
 	}
-	l.fail(errSilent)
-	broken(l)
+	s.fail(errSilent)
+	broken(s)
 }
 
 // start hands a call to the gateway.
-func (l *line) start(b *body, m *toucanhingev1.CarryRequest) {
-	l.mu.Lock()
-	if err := l.err; err != nil {
-		l.mu.Unlock()
+func (s *session) start(b *body, m *toucanhingev1.CarryRequest) {
+	s.mu.Lock()
+	if err := s.err; err != nil {
+		s.mu.Unlock()
 		b.fail(err)
 		return
 	}
-	if len(l.calls) == 0 {
-		l.alive.Reset(frameTime)
+	if len(s.calls) == 0 {
+		s.alive.Reset(frameTime)
 	}
-	l.calls[b.number] = b
-	l.starts = append(l.starts, m)
-	l.mu.Unlock()
-	l.stir()
+	s.calls[b.number] = b
+	s.starts = append(s.starts, m)
+	s.mu.Unlock()
+	s.stir()
 }
 
-func (l *line) release(number uint64) {
-	l.mu.Lock()
-	l.releases = append(l.releases, number)
-	l.mu.Unlock()
-	l.stir()
+func (s *session) release(number uint64) {
+	s.mu.Lock()
+	s.releases = append(s.releases, number)
+	s.mu.Unlock()
+	s.stir()
 }
 
-func (l *line) stir() {
+func (s *session) stir() {
 	select {
-	case l.wake <- struct{}{}:
+	case s.wake <- struct{}{}:
 	default:
 	}
 }
 
 // drop forgets a call.
-func (l *line) drop(number uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.calls, number)
+func (s *session) drop(number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calls, number)
 }
 
-func (l *line) busy() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.calls) > 0
+func (s *session) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls) > 0
 }
 
-// fail ends the line and all its calls.
-func (l *line) fail(err error) {
-	l.mu.Lock()
-	if l.err == nil {
-		l.err = err
+// fail ends the session and all its calls.
+func (s *session) fail(err error) {
+	s.mu.Lock()
+	if s.err == nil {
+		s.err = err
 	}
-	calls := l.calls
-	l.calls = map[uint64]*body{}
-	l.mu.Unlock()
-	l.alive.Stop()
-	l.cancel()
+	calls := s.calls
+	s.calls = map[uint64]*body{}
+	s.mu.Unlock()
+	s.alive.Stop()
+	s.cancel()
 	for _, b := range calls {
 		b.fail(err)
 	}
-	l.http.CloseIdleConnections()
+	s.http.CloseIdleConnections()
 }
--- a/gateway/pkg/carry/call.go
+++ b/gateway/pkg/carry/call.go
@@ -28,14 +28,14 @@
 
 var errSilent = errors.New("nothing comes from the runner")
 
-// call is one call on its way. A goroutine of its own reads the runner's answer; the line
+// call is one call on its way. A goroutine of its own reads the runner's answer; the session
 // takes what has gathered.
 type call struct {
 	source string
 	number uint64
 	began  clock.Millis
 	cancel context.CancelCauseFunc
-	// wake asks the line to pass something on soon.
+	// wake asks the session to pass something on soon.
 	wake func()
 
 	mu     sync.Mutex
--- a/gateway/pkg/carry/server.go
+++ b/gateway/pkg/carry/server.go
@@ -65,9 +65,9 @@
 	// ended counts the calls that were ended here, by reason.
 	ended *prometheus.CounterVec
 
-	mu      sync.Mutex
-	leaving bool
-	lines   map[*line]bool
+	mu       sync.Mutex
+	leaving  bool
+	sessions map[*session]bool
 }
 
 var _ toucanhingev1connect.CarryServiceHandler = (*Server)(nil)
@@ -75,7 +75,7 @@
 // New makes a server without calls.
 func New(config Config) *Server {
 	return &Server{
-		config: config, lines: map[*line]bool{},
+		config: config, sessions: map[*session]bool{},
 		ended: promauto.With(config.Registerer).NewCounterVec(prometheus.CounterOpts{
 			Name: "toucanhinge_carried_calls_ended_total", Help: "Items' calls that this gateway ended early, by reason.",
 		}, []string{"reason"}),
@@ -99,7 +99,7 @@
 func (s *Server) endOrphans() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for l := range s.lines {
+	for l := range s.sessions {
 		source := ""
 		ended := l.endIf(errGone, func(c *call) bool {
 			source = c.source
@@ -118,7 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
-	for l := range s.lines {
+	for l := range s.sessions {
 		ended := l.endIf(errLeaving, func(*call) bool { return true })
 		s.ended.WithLabelValues(reasonLeaving).Add(float64(ended))
 	}
@@ -130,22 +130,22 @@
 	return s.leaving
 }
 
-func (s *Server) enter(l *line) {
+func (s *Server) enter(l *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lines[l] = true
+	s.sessions[l] = true
 }
 
-func (s *Server) exit(l *line) {
+func (s *Server) exit(l *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.lines, l)
+	delete(s.sessions, l)
 }
 
-// Carry makes the calls that a daemon asks for, and passes their answers on, until the line
+// Carry makes the calls that a daemon asks for, and passes their answers on, until the session
 // or the context ends.
 func (s *Server) Carry(ctx context.Context, commands *stream) error {
-	l := newLine()
+	l := newSession()
 	s.enter(l)
 	defer s.exit(l)
 	ctx, cancel := context.WithCancel(ctx)
@@ -155,7 +155,7 @@
 	duties.Go(func() {
 		defer cancel()
 		if err := l.pass(ctx, commands); err != nil {
-			level.Info(s.config.Logger).Log(logs.KeyEvent, "carry-line-broken", logs.KeyError, err)
+			level.Info(s.config.Logger).Log(logs.KeyEvent, "carry-session-broken", logs.KeyError, err)
 		}
 	})
 	for {
@@ -174,9 +174,9 @@
 	}
 }
 
-// begin makes one call. Its context ends with the line's; ended for another reason, it still
+// begin makes one call. Its context ends with the session's; ended for another reason, it still
 // passes on what it has gathered.
-func (s *Server) begin(ctx context.Context, l *line, source string, m *toucanhingev1.CarryRequest, duties *sync.WaitGroup) {
+func (s *Server) begin(ctx context.Context, l *session, source string, m *toucanhingev1.CarryRequest, duties *sync.WaitGroup) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	c := &call{source: source, number: m.GetCall(), began: s.config.Clock.Now(), cancel: cancel, wake: l.wake}
 	l.add(c)
--- a/gateway/pkg/carry/server_test.go
+++ b/gateway/pkg/carry/server_test.go
@@ -81,19 +81,19 @@
 	return c()
 }
 
-// begin starts one call over a line of its own. Wait returns what came of it, release asks for
-// the end of some calls over another line.
+// begin starts one call over a session of its own. Wait returns what came of it, release asks for
+// the end of some calls over another session.
 func (f *fixture) begin(source string, request *toucanhingev1.CarryRequest) (wait func() carried, release func(calls ...uint64)) {
 	ctx, cancel := context.WithCancel(context.Background())
-	line := f.calls.Carry(ctx)
-	sent := line.Send(&toucanhingev1.CarryCommands{Source: source, Starts: []*toucanhingev1.CarryRequest{request}})
+	session := f.calls.Carry(ctx)
+	sent := session.Send(&toucanhingev1.CarryCommands{Source: source, Starts: []*toucanhingev1.CarryRequest{request}})
 	wait = func() (c carried) {
 		defer cancel()
 		if sent != nil {
 			return carried{err: sent}
 		}
 		for {
-			m, err := line.Receive()
+			m, err := session.Receive()
 			if err != nil {
 				c.err = err
 				return c
@@ -109,7 +109,7 @@
 			}
 		}
 	}
-	return wait, func(calls ...uint64) { _ = line.Send(&toucanhingev1.CarryCommands{Source: source, Releases: calls}) }
+	return wait, func(calls ...uint64) { _ = session.Send(&toucanhingev1.CarryCommands{Source: source, Releases: calls}) }
 }
 
 // under lists the calls that are under way.
@@ -117,7 +117,7 @@
 	f.server.mu.Lock()
 	defer f.server.mu.Unlock()
 	var calls []*call
-	for l := range f.server.lines {
+	for l := range f.server.sessions {
 		l.mu.Lock()
 		for _, c := range l.calls {
 			calls = append(calls, c)
@@ -266,13 +266,13 @@
 	require.NotEmpty(t, c.end.GetFailure())
 }
 
-// The leader's process is killed: its line is reset. The runners of all calls over it must
+// The leader's process is killed: its session is reset. The runners of all calls over it must
 // stop.
-func TestTheEndOfALineEndsItsCalls(t *testing.T) {
+func TestTheEndOfASessionEndsItsCalls(t *testing.T) {
 	f := start(t, hanging)
 	ctx, cancel := context.WithCancel(context.Background())
-	line := f.calls.Carry(ctx)
-	require.NoError(t, line.Send(&toucanhingev1.CarryCommands{Source: "leader", Starts: []*toucanhingev1.CarryRequest{{Call: 1}}}))
+	session := f.calls.Carry(ctx)
+	require.NoError(t, session.Send(&toucanhingev1.CarryCommands{Source: "leader", Starts: []*toucanhingev1.CarryRequest{{Call: 1}}}))
 	require.Eventually(t, func() bool { return len(f.under()) == 1 }, time.Second, time.Millisecond)
 	cancel()
 	select {
--- a/gateway/pkg/carry/line.go
+++ b/gateway/pkg/carry/session.go
@@ -25,8 +25,8 @@
 
 type stream = connect.BidiStream[toucanhingev1.CarryCommands, toucanhingev1.CarryEvents]
 
-// line is one daemon's line to this gateway, with the calls that it asked for.
-type line struct {
+// session is one daemon's session to this gateway, with the calls that it asked for.
+type session struct {
 	// news has room for one: there is something to pass on soon.
 	news chan struct{}
 
@@ -34,27 +34,27 @@
 	calls map[uint64]*call
 }
 
-func newLine() *line { return &line{news: make(chan struct{}, 1), calls: map[uint64]*call{}} }
+func newSession() *session { return &session{news: make(chan struct{}, 1), calls: map[uint64]*call{}} }
 
-func (l *line) wake() {
+func (s *session) wake() {
 	select {
-	case l.news <- struct{}{}:
+	case s.news <- struct{}{}:
 	default:
 	}
 }
 
-func (l *line) add(c *call) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.calls[c.number] = c
+func (s *session) add(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[c.number] = c
 }
 
 // end ends calls early.
-func (l *line) end(cause error, numbers ...uint64) (ended int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (s *session) end(cause error, numbers ...uint64) (ended int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, number := range numbers {
-		if c := l.calls[number]; c != nil {
+		if c := s.calls[number]; c != nil {
 			c.cancel(cause)
 			ended++
 		}
@@ -63,10 +63,10 @@
 }
 
 // endIf ends the calls for which a test holds.
-func (l *line) endIf(cause error, test func(c *call) bool) (ended int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.calls {
+func (s *session) endIf(cause error, test func(c *call) bool) (ended int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.calls {
 		if test(c) {
 			c.cancel(cause)
 			ended++
@@ -77,18 +77,18 @@
 
 // take lists what has become of the calls, and how many are under way. Calls that have
 // ended are forgotten.
-func (l *line) take(all bool) (events []*toucanhingev1.CarryEvent, calls int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	calls = len(l.calls)
-	for number, c := range l.calls {
+func (s *session) take(all bool) (events []*toucanhingev1.CarryEvent, calls int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls = len(s.calls)
+	for number, c := range s.calls {
 		event := c.take(all)
 		if event == nil {
 			continue
 		}
 		events = append(events, event)
 		if event.GetEnd() != nil {
-			delete(l.calls, number)
+			delete(s.calls, number)
 		}
 	}
 	return events, calls
@@ -97,7 +97,7 @@
 // pass passes on what becomes of the calls, until the context ends. An empty message goes
 // out when nothing has become of calls under way for some time: it says that this gateway is
 // there.
-func (l *line) pass(ctx context.Context, out *stream) error {
+func (s *session) pass(ctx context.Context, out *stream) error {
 	ticker := time.NewTicker(gather)
 	defer ticker.Stop()
 	for {
@@ -105,12 +105,12 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-l.news:
+		case <-s.news:
 			time.Sleep(settle)
 		case <-ticker.C:
 			all = true
 		}
-		events, calls := l.take(all)
+		events, calls := s.take(all)
 		if len(events) == 0 && (!all || calls == 0) {
 			continue
 		}
