--- a/common/pkg/digest/relay.go
+++ b/common/pkg/digest/relay.go
@@ -12,8 +12,8 @@
 
 const (
 	// relayPeers is the number of peers from which on data centres tell one another sums.
-	// With 89 gateways each datagram went to 89 others, 2,000 a second from each, and most
-	// of the bytes between data centres were digests; with 27 that costs less than the two
+	// With 89 gateways each digest went to 89 others: 1.07 GB between data centres on a calm
+	// day, 0.18 GB with sums (one play each). With 27 gateways that costs less than the two
 	// hops more.
 	relayPeers = 40
 	// relayEvery is how often a relay tells what changed. A picture is then some 20 ms old,
--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -25,9 +25,9 @@
 	// stepEvery is the longest time between two decisions; changes of the load
 	// are decided on at once.
 	stepEvery = 50 * time.Millisecond
-	// stepGap is the shortest time between two. Behind 89 gateways the load changes up to
-	// 2,000 times a second; a decision for each took half of the processor that the leader
-	// has for everything. An online request waits for an item's place 2 ms longer.
+	// stepGap is the shortest time between two. Behind 89 gateways the load changes hundreds
+	// of times a second, and a decision among 3,000 waiting items takes 0.15 ms
+	// (BenchmarkStep). An online request waits for an item's place 2 ms longer.
 	stepGap = 5 * time.Millisecond
 	// refusedPause keeps items off a runner that was full when we thought it
 	// wasn't: about the time in which one of its places becomes free.
--- a/control/pkg/batchrun/start_limiter.go
+++ b/control/pkg/batchrun/start_limiter.go
@@ -8,9 +8,9 @@
 	// thousand within 250 ms. The least still begins each of a fleet's items within seconds.
 	mostStarts  = 4_000.0
 	leastStarts = 100.0
-	// slowLag is how late a decision may begin before the rate is lowered. The leader must
-	// answer heartbeats within 75 ms; when 600 items began at once it couldn't for half a
-	// second, another VM led, and all items began anew there.
+	// slowLag is how late a decision may begin before the rate is lowered. The leader
+	// sends heartbeats every 75 ms; when hundreds of items began at once it sent them too
+	// late, another VM led, and all items began anew there.
 	slowLag clock.Millis = 20
 	// slower and faster change the rate at each decision that was late or in time.
 	slower = 0.7
--- a/control/pkg/carrier/session.go
+++ b/control/pkg/carrier/session.go
@@ -20,9 +20,11 @@
 
 var errSilent = errors.New("nothing comes from the gateway")
 
-// session is the stream shared with one gateway, over which it takes all calls and passes all answers on.
-// A stream for each call cost the leader of a large fleet three times the processor time,
-// most of it when a burst begins and hundreds of items give way at once.
+// session is the stream shared with one gateway, over which it takes all calls and passes all
+// answers on. With a stream for each call, and another call to end it, hundreds of items that
+// give way when a burst begins are as many exchanges with headers; so commands and events that
+// come together go together. On a calm day of 278 VMs the leader's memory was 104 MB at most in
+// place of 179, its connections 239 in place of 1,083 (one play each, with the group commit).
 type session struct {
 	source string
 	http   *http.Client
--- a/gateway/pkg/carry/session.go
+++ b/gateway/pkg/carry/session.go
@@ -14,8 +14,8 @@
 const (
 	// gather is how long events wait for others. Nobody waits for single events of an
 	// item, and each message costs both ends some 50 us of processor time: passed on
-	// every 40 ms, the events of 500 items took all of the processor of the VM that
-	// leads, which then missed its heartbeats, and the leader changed once a second. What
+	// every 40 ms, the events of 500 items are 12,500 messages a second, more than the VM
+	// that leads can take; it missed its heartbeats, and the leader changed once a second. What
 	// is gathered is lost with the gateway's VM, a quarter of a second of work on the mean.
 	gather = 500 * time.Millisecond
 	// settle is how long what is urgent waits for others of its kind: when a burst begins,
