Tell from the lines which calls are one request, and whether their runner crashed

Cause: the lines of the runners that crashed one after the other couldn't tell whether a single request was common to them, nor whether a runner was gone or had cut one connection only. Each call that breaks off now asks whether its runner refuses a connection; if so, a line names the runner and the request's content, which is the same for all its attempts. No decision changes. Ruled out: waiting for the platform's list, which shows a crash some seconds late.

--- a/common/pkg/logs/logs.go
+++ b/common/pkg/logs/logs.go
@@ -18,6 +18,7 @@
 	KeyLease   = "lease"
 	KeyTerm    = "term"
 	KeyGroup   = "group"
+	KeyContent = "content"
 	KeyError   = "error"
 	KeyEvent   = "event"
 )
@@ -27,6 +28,7 @@
 const (
 	EventRequestEnded     = "request-ended"
 	EventRequestElsewhere = "request-goes-elsewhere"
+	EventRunnerCrashed    = "runner-crashed"
 	EventItemPaused       = "item-paused"
 	EventItemEnded        = "item-call-ended"
 	EventJobAnswered      = "job-answered"
--- a/common/pkg/runner/runner.go
+++ b/common/pkg/runner/runner.go
@@ -67,6 +67,9 @@
 // its end, or ending the context, breaks the call off, and the runner stops.
 type Client struct {
 	Open func(ctx context.Context, call Call) (*Answer, error)
+	// Refuses says whether a runner refuses a new connection, as its address does from a
+	// crash until it is started again. Nil if that can't be found out.
+	Refuses func(ctx context.Context, r *toucanhingev1.Runner) bool
 }
 
 // NotSentError tells that nothing of the request left this process, so it
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -65,6 +65,8 @@
 	outcome string
 	reason  string
 	firstAt clock.Millis
+	// heardAt is when the first event of the present call came, 0 before.
+	heardAt clock.Millis
 	inRoom  bool
 	// wait is what the last choice expected, waited how long it was in the room.
 	wait   clock.Millis
@@ -135,6 +137,7 @@
 	e.server.config.Exchange.Add(r.GetId(), occupancy.Load{Online: 1})
 	defer e.server.config.Exchange.Add(r.GetId(), occupancy.Load{Online: -1})
 	began := e.now()
+	e.heardAt = 0
 	silence := e.watch(cancel)
 	defer silence.stop()
 	var watch *digest.Watch
@@ -219,6 +222,7 @@
 		return false
 	}
 	e.server.learn(func(m *place.Machine) { m.Doubt(r.GetId(), e.now()+brokenPause) })
+	e.sightCrash(ctx, r, err)
 	if !e.mayRepeat() {
 		e.giveUp(ctx, Refusal{Reason: ReasonBroken})
 		return false
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -64,6 +64,7 @@
 	retried  *prometheus.CounterVec
 	first    prometheus.Histogram
 	waiting  prometheus.Gauge
+	crashes  prometheus.Counter
 }
 
 // New makes a server without routes.
@@ -89,6 +90,9 @@
 			waiting: factory.NewGauge(prometheus.GaugeOpts{
 				Name: "toucanhinge_requests_waiting", Help: "Requests that came back and wait for a free place.",
 			}),
+			crashes: factory.NewCounter(prometheus.CounterOpts{
+				Name: "toucanhinge_calls_crashed_total", Help: "Calls whose runner crashed.",
+			}),
 		},
 	}
 }
--- a/gateway/pkg/forward/stream.go
+++ b/gateway/pkg/forward/stream.go
@@ -55,6 +55,9 @@
 			}
 			e.after, e.resume = event.ID, true
 		}
+		if e.heardAt == 0 {
+			e.heardAt = e.now()
+		}
 		if e.firstAt == 0 {
 			e.firstAt = e.now()
 		}
