Keep a request that crashes runners from all of them

Before each call a gateway asks whether the request's content is quarantined. If so it answers at once: 503 if this attempt hasn't run, 502 if it may have, both with the time when it will be tried again. One in doubt rests a moment. A whole answer, or half a second of events, clears it everywhere. Ruled out: a 4xx answer. It would say that the request is wrong; what is known is that it doesn't run now, and 503 is what promises that it hasn't.

--- a/control/pkg/batchrun/driver_test.go
+++ b/control/pkg/batchrun/driver_test.go
@@ -36,6 +36,8 @@
 	mu      sync.Mutex
 	applied int64
 	calls   []runner.Call
+	// refuses says that runners refuse connections after a call that broke off.
+	refuses bool
 	// answer says what a runner does with the nth call, from 0.
 	answer func(n int, call runner.Call) (*runner.Answer, error)
 }
@@ -52,10 +54,8 @@
 		Folder: t.TempDir(), Fatal: func(err error) { t.Error(err) }, Notify: func(c systemstate.Change) { f.driver.Notify(c) },
 	})
 	f.driver = New(Config{
-		Machine: f.machine, Propose: f.propose, Client: runner.Client{Open: f.open}, Exchange: x,
-		Runners: func() []*toucanhingev1.Runner {
-			return []*toucanhingev1.Runner{{Id: "a", Service: "llm", DataCentre: "here", Slots: 1}, {Id: "b", Service: "llm", DataCentre: "here", Slots: 1}}
-		},
+		Machine: f.machine, Propose: f.propose, Client: runner.Client{Open: f.open, Refuses: func(context.Context, *toucanhingev1.Runner) bool { return f.refuses }}, Exchange: x,
+		Runners:    f.runners,
 		DataCentre: "here", Clock: clock.System(), Logger: log.NewNopLogger(), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	require.NoError(t, f.machine.Load(nil))
@@ -63,6 +63,17 @@
 	return f
 }
 
+// runners start again after each call, if they crash.
+func (f *fixture) runners() []*toucanhingev1.Runner {
+	born := int64(0)
+	if f.refuses {
+		born = int64(len(f.sent()))
+	}
+	return []*toucanhingev1.Runner{
+		{Id: "a", Service: "llm", DataCentre: "here", Slots: 1, BornMs: born}, {Id: "b", Service: "llm", DataCentre: "here", Slots: 1, BornMs: born},
+	}
+}
+
 func table(version uint64, prefix string) *toucanhingev1.RoutingTable {
 	return &toucanhingev1.RoutingTable{
 		Version: version, Services: []*toucanhingev1.RoutedService{{Name: "llm"}},
--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -59,6 +59,8 @@
 	broken outcomeKind = "broken"
 	// paused: we broke it off.
 	paused outcomeKind = "paused"
+	// withheld: it is kept from all runners, since it crashes them.
+	withheld outcomeKind = "withheld"
 )
 
 // runnerSaid says whether the outcome is the runner's word on the item, which counts even
@@ -70,6 +72,8 @@
 	run  *run
 	kind outcomeKind
 	err  error
+	// until is when an item that is withheld may be looked at again.
+	until clock.Millis
 }
 
 // progress is what an item's calls have made so far. The call under way appends
@@ -185,25 +189,36 @@
 		<-r.before.done
 		r.before = nil
 	}
-	kind, err := r.call(ctx)
+	item, host, err := r.driver.request(r.key)
+	if err != nil {
+		return outcome{run: r, kind: broken, err: err}
+	}
+	r.item = item.GetId()
+	call := r.describe(item, host)
+	if until := r.withheld(call); until > 0 {
+		return outcome{run: r, kind: withheld, until: until}
+	}
+	began := r.driver.config.Clock.Now()
+	kind, err := r.call(ctx, call)
+	switch {
+	case kind == finished:
+		r.survived(call)
+	case kind == broken:
+		r.sightCrash(ctx, call, began)
+	}
 	if (ctx.Err() != nil || r.gaveWay()) && !kind.runnerSaid() {
 		kind = paused
 	}
 	return outcome{run: r, kind: kind, err: err}
 }
 
-func (r *run) call(ctx context.Context) (outcomeKind, error) {
-	item, host, err := r.driver.request(r.key)
-	if err != nil {
-		return broken, err
-	}
-	r.item = item.GetId()
+func (r *run) call(ctx context.Context, call runner.Call) (outcomeKind, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// A daemon that makes the call in our place tells of its end, and of the runner's silence.
 	watchdog := time.AfterFunc(2*silence, cancel)
 	defer watchdog.Stop()
-	answer, err := r.driver.config.Client.Open(ctx, r.describe(item, host))
+	answer, err := r.driver.config.Client.Open(ctx, call)
 	if err != nil {
 		var unsent *runner.NotSentError
 		switch {
--- a/control/pkg/batchrun/settle.go
+++ b/control/pkg/batchrun/settle.go
@@ -44,6 +44,8 @@
 		d.machine.Stopped(now, key, untakenPause)
 	case broken:
 		d.machine.Stopped(now, key, refusedPause)
+	case withheld:
+		d.machine.Stopped(now, key, min(max(o.until-now, 0), withheldPause))
 	case paused:
 	}
 }
--- a/control/pkg/carrier/carrier.go
+++ b/control/pkg/carrier/carrier.go
@@ -99,7 +99,9 @@
 }
 
 // Calls is the carrier as a client of runners.
-func (c *Carrier) Calls() runner.Client { return runner.Client{Open: c.open} }
+func (c *Carrier) Calls() runner.Client {
+	return runner.Client{Open: c.open, Refuses: c.config.Direct.Refuses}
+}
 
 func (c *Carrier) open(ctx context.Context, call runner.Call) (*runner.Answer, error) {
 	var last error
--- a/gateway/pkg/forward/crash.go
+++ b/gateway/pkg/forward/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
@@ -12,9 +14,34 @@
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
+// quarantined refuses a request that crashes the runners that run it, under whatever id and
+// at whatever gateway it comes. One that is in doubt waits until all gateways have told what
+// they know: without that, one that comes again 70 ms after a crash crashes a runner more.
+func (e *exchange) quarantined(ctx context.Context) *Refusal {
+	x := e.server.config.Exchange
+	for x.Suspects() {
+		verdict := x.Standing(e.contentID())
+		wait := (verdict.Until - e.now()).Duration()
+		switch verdict.Standing {
+		case crashes.Quarantined:
+			return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonCrashes, RetryAfter: wait}
+		case crashes.Sound:
+			return nil
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonTimeLimit}
+		}
+	}
+	return nil
+}
+
 // sightCrash notes it if a call broke off because its runner crashed. A runner may also
 // break one connection and live on; one that refuses a new connection at once doesn't.
-func (e *exchange) sightCrash(ctx context.Context, r *toucanhingev1.Runner, err error) {
+func (e *exchange) sightCrash(ctx context.Context, r *toucanhingev1.Runner, began clock.Millis, err error) {
 	refuses := e.server.config.Client.Refuses
 	if refuses == nil || errors.Is(err, errStatus) || errors.Is(err, errSilent) || errors.Is(err, errGap) || !refuses(ctx, r) {
 		return
@@ -23,11 +50,27 @@
 	if e.heardAt > 0 {
 		running = e.now() - e.heardAt
 	}
+	sign := crashes.SignOf(running, e.now()-began, e.route.Streams())
 	e.server.metrics.crashes.Inc()
 	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventRunnerCrashed, logs.KeyRequest, e.request.ID,
-		logs.KeyContent, e.content(), "runner", r.GetId(), "ran", e.ran, "running-ms", running)
+		logs.KeyContent, e.contentID(), "runner", r.GetId(), "ran", e.ran, "running-ms", running)
+	if sign == crashes.Late {
+		e.survived()
+	}
+	e.server.config.Exchange.Crashed(r, e.contentID(), sign)
 }
 
-func (e *exchange) content() crashes.Content {
-	return crashes.ContentOf(e.request.Method, e.request.Host, e.request.Target, e.request.Body)
+// survived clears a request that ran without crashing its runner, if it was suspected.
+func (e *exchange) survived() {
+	if x := e.server.config.Exchange; x.Suspects() {
+		x.Survived(e.contentID())
+	}
+}
+
+func (e *exchange) contentID() crashes.Content {
+	if e.content == nil {
+		content := crashes.ContentOf(e.request.Method, e.request.Host, e.request.Target, e.request.Body)
+		e.content = &content
+	}
+	return *e.content
 }
--- a/gateway/pkg/forward/crash_test.go
+++ b/gateway/pkg/forward/crash_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/crashes"
 	"toucanhinge.example/common/pkg/digest"
 	"toucanhinge.example/common/pkg/routing"
 	"toucanhinge.example/common/pkg/runner"
@@ -128,6 +130,7 @@
 	require.NoError(f.t, err)
 	server.SetTable(table)
 	server.SetRunners(known, len(f.gateways)+1)
+	x.SetRunners(len(known))
 	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		require.NoError(f.t, err)
@@ -152,8 +155,11 @@
 	f.mu.Lock()
 	f.runs[string(call.Body)]++
 	f.mu.Unlock()
-	if string(call.Body) == "crash" {
+	switch {
+	case string(call.Body) == "crash":
 		time.AfterFunc(crashDelay, func() { r.crash(gone) })
+	case strings.HasPrefix(string(call.Body), "reset"):
+		return nil, &runner.BrokenError{Runner: call.Runner.GetId(), Err: errWire}
 	}
 	return &runner.Answer{
 		Status: http.StatusOK, Header: http.Header{"Seal": {call.Runner.GetId()}}, Length: -1,
@@ -254,7 +260,10 @@
 					return
 				default:
 				}
-				f.ask(n, "/stream/others", fmt.Sprintf("o%d-%d", n, turn), fmt.Sprintf("sound %d %d", n, turn))
+				got := f.ask(n, "/stream/others", fmt.Sprintf("o%d-%d", n, turn), fmt.Sprintf("sound %d %d", n, turn))
+				if strings.Contains(got.body, "crashes-runners") {
+					t.Errorf("a sound request was taken for the cause: %+v", got)
+				}
 			}
 		})
 	}
@@ -280,3 +289,66 @@
 	defer func() { _ = socket.Close() }()
 	return socket.LocalAddr().String()
 }
+
+// The same request may run once for each of its attempts, so a gateway never sends it on
+// to another runner; its caller does, by asking again. Each crash counts all the same, and
+// what is refused at last hasn't run.
+func TestACrashingRequestThatMayRunOnce(t *testing.T) {
+	f := startCrashFleet(t, 3, 12)
+	refused := 0
+	for turn := range 10 {
+		before := f.ran("crash")
+		got := f.ask(turn, "/once/bad", fmt.Sprintf("q%d", turn), "crash")
+		require.NoError(t, got.err)
+		switch got.status {
+		case http.StatusBadGateway:
+			require.Equal(t, before+1, f.ran("crash"))
+		case http.StatusServiceUnavailable:
+			require.Equal(t, before, f.ran("crash"))
+			refused++
+		default:
+			t.Fatalf("status %d", got.status)
+		}
+	}
+	require.LessOrEqual(t, f.ran("crash"), 6)
+	require.Positive(t, refused)
+}
+
+// Connections break off under a request again and again, but the runners live on and take
+// new ones. It isn't the cause of anything, and is tried as often as its caller asks.
+func TestBrokenConnectionsAreNoCrashes(t *testing.T) {
+	f := startCrashFleet(t, 3, 12)
+	for turn := range 10 {
+		got := f.ask(turn, "/stream/reset", fmt.Sprintf("q%d", turn), "reset")
+		require.Equal(t, http.StatusBadGateway, got.status)
+		require.Contains(t, got.body, ReasonBroken)
+	}
+	require.Equal(t, 20, f.ran("reset"), "two runners each time")
+	require.Zero(t, f.servers[0].config.Exchange.Quarantined())
+}
+
+// Two attempts of a request are under way at two gateways while its third crash becomes
+// known. The one that has run is told that it may have; the one that waits is refused at once.
+// Both are told when it is tried again.
+func TestAnAttemptUnderWayWhenItsRequestIsQuarantined(t *testing.T) {
+	f := startCrashFleet(t, 1, 12)
+	x := f.servers[0].config.Exchange
+	bad := crashes.ContentOf(http.MethodPost, "desk", "/stream/bad", []byte("crash"))
+	for n := range 2 {
+		x.Crashed(&toucanhingev1.Runner{Id: fmt.Sprint("earlier", n)}, bad, crashes.Silent)
+	}
+	began := time.Now()
+	waits := f.ask(0, "/stream/bad", "q1", "crash")
+	require.Equal(t, http.StatusBadGateway, waits.status, "it rested, ran, and crashed its runner")
+	require.Greater(t, time.Since(began), 300*time.Millisecond)
+	require.Contains(t, waits.body, ReasonCrashes)
+	require.NotEmpty(t, waits.after)
+	began = time.Now()
+	refused := f.ask(0, "/stream/bad", "q2", "crash")
+	require.Equal(t, http.StatusServiceUnavailable, refused.status)
+	require.Less(t, time.Since(began), 100*time.Millisecond)
+	after, err := strconv.ParseFloat(refused.after, 64)
+	require.NoError(t, err)
+	require.Greater(t, after, 60.0)
+	require.Equal(t, 1, f.ran("crash"))
+}
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/crashes"
 	"toucanhinge.example/common/pkg/digest"
 	"toucanhinge.example/common/pkg/logs"
 	"toucanhinge.example/common/pkg/occupancy"
@@ -67,6 +68,8 @@
 	firstAt clock.Millis
 	// heardAt is when the first event of the present call came, 0 before.
 	heardAt clock.Millis
+	// content is what the request asks for, nil until it is needed.
+	content *crashes.Content
 	inRoom  bool
 	// wait is what the last choice expected, waited how long it was in the room.
 	wait   clock.Millis
@@ -79,7 +82,15 @@
 // serve tries runners until the request is answered or given up.
 func (e *exchange) serve(ctx context.Context) {
 	for len(e.tried) < mostTries {
-		choice, refusal := e.choose(ctx)
+		// What is kept from all runners is turned away before it waits for one, and after.
+		refusal := e.quarantined(ctx)
+		var choice place.Choice
+		if refusal == nil {
+			choice, refusal = e.choose(ctx)
+		}
+		if refusal == nil && e.inRoom {
+			refusal = e.quarantined(ctx)
+		}
 		if refusal != nil {
 			e.giveUp(ctx, *refusal)
 			return
@@ -107,7 +118,7 @@
 	case e.begun:
 		e.cut()
 	case e.ran > 0:
-		e.fail(refusal.Reason)
+		e.fail(refusal)
 	default:
 		e.outcome = outcomeRefused
 		e.server.Refuse(e.w, refusal)
@@ -115,13 +126,16 @@
 }
 
 // fail answers that the request failed, and may have run.
-func (e *exchange) fail(reason string) {
-	e.outcome, e.reason = outcomeFailed, reason
-	status := http.StatusBadGateway
-	if reason == ReasonTimeLimit {
-		status = http.StatusGatewayTimeout
+func (e *exchange) fail(refusal Refusal) {
+	e.outcome, e.reason = outcomeFailed, refusal.Reason
+	answer := Refusal{Status: http.StatusBadGateway, Reason: refusal.Reason}
+	switch refusal.Reason {
+	case ReasonTimeLimit:
+		answer.Status = http.StatusGatewayTimeout
+	case ReasonCrashes:
+		answer.RetryAfter = refusal.RetryAfter
 	}
-	e.server.Refuse(e.w, Refusal{Status: status, Reason: reason})
+	e.server.Refuse(e.w, answer)
 }
 
 // cut ends an answer whose beginning has gone out, so that it can't look whole.
@@ -147,7 +161,7 @@
 	}
 	answer, err := e.server.config.Client.Open(ctx, e.call(r))
 	if err != nil {
-		return e.unanswered(parent, r, silence.explain(parent, err))
+		return e.unanswered(parent, r, began, silence.explain(parent, err))
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.Held != nil && !answer.Other {
@@ -159,7 +173,7 @@
 	e.ran++
 	// What has begun can only go on with events, and a failure may be repeated.
 	if e.begun && answer.Status != http.StatusOK || answer.Status >= http.StatusInternalServerError && e.mayRepeat() {
-		return e.broken(parent, r, fmt.Errorf("%w: %d", errStatus, answer.Status))
+		return e.broken(parent, r, began, fmt.Errorf("%w: %d", errStatus, answer.Status))
 	}
 	if e.route.Streams() && answer.Status == http.StatusOK {
 		err = silence.explain(parent, e.stream(answer, silence, watch))
@@ -167,12 +181,13 @@
 		err = e.pass(answer)
 	}
 	if err == nil {
+		e.survived()
 		e.finish(answer)
 		span := e.now() - began
 		e.server.learn(func(m *place.Machine) { m.Held(e.service, span) })
 		return false
 	}
-	return e.broken(parent, r, err)
+	return e.broken(parent, r, began, err)
 }
 
 func (e *exchange) call(r *toucanhingev1.Runner) runner.Call {
@@ -184,7 +199,7 @@
 }
 
 // unanswered handles a call without an answer.
-func (e *exchange) unanswered(ctx context.Context, r *toucanhingev1.Runner, err error) (again bool) {
+func (e *exchange) unanswered(ctx context.Context, r *toucanhingev1.Runner, began clock.Millis, err error) (again bool) {
 	var unsent *runner.NotSentError
 	if errors.As(err, &unsent) {
 		if ctx.Err() == nil {
@@ -197,7 +212,7 @@
 		return e.again(r, "unreachable", err)
 	}
 	e.ran++
-	return e.broken(ctx, r, err)
+	return e.broken(ctx, r, began, err)
 }
 
 // notRun handles a runner's word that it didn't run the request.
@@ -211,7 +226,7 @@
 }
 
 // broken handles a call that ended early, after it was sent.
-func (e *exchange) broken(ctx context.Context, r *toucanhingev1.Runner, err error) (again bool) {
+func (e *exchange) broken(ctx context.Context, r *toucanhingev1.Runner, began clock.Millis, err error) (again bool) {
 	e.err = err
 	if errors.Is(err, errLeft) || errors.Is(ctx.Err(), context.Canceled) {
 		e.outcome = outcomeLeft
@@ -222,7 +237,7 @@
 		return false
 	}
 	e.server.learn(func(m *place.Machine) { m.Doubt(r.GetId(), e.now()+brokenPause) })
-	e.sightCrash(ctx, r, err)
+	e.sightCrash(ctx, r, began, err)
 	if !e.mayRepeat() {
 		e.giveUp(ctx, Refusal{Reason: ReasonBroken})
 		return false
--- a/gateway/pkg/forward/request.go
+++ b/gateway/pkg/forward/request.go
@@ -49,6 +49,9 @@
 	ReasonTimeLimit = "time-limit"
 	ReasonBroken    = "runner-broke-off"
 	ReasonAttempts  = "attempts-used-up"
+	// ReasonCrashes says that the request crashes the runners that run it, and is kept from
+	// all of them until it is time to come back.
+	ReasonCrashes = "crashes-runners"
 )
 
 // Outcomes in the log line of a request.
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -70,6 +70,9 @@
 // New makes a server without routes.
 func New(config Config) *Server {
 	factory := promauto.With(config.Registerer)
+	factory.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "toucanhinge_requests_quarantined", Help: "Requests that are kept from all runners.",
+	}, func() float64 { return float64(config.Exchange.Quarantined()) })
 	return &Server{
 		config: config, places: place.New(place.Config{DataCentre: config.DataCentre}),
 		patience: admission.NewPatience(), freed: make(chan struct{}), begun: make(chan struct{}),
