--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -200,11 +200,12 @@
 	}
 	began := r.driver.config.Clock.Now()
 	kind, err := r.call(ctx, call)
-	switch {
-	case kind == finished:
+	switch kind {
+	case finished:
 		r.survived(call)
-	case kind == broken:
+	case broken:
 		r.sightCrash(ctx, call, began)
+	default:
 	}
 	if (ctx.Err() != nil || r.gaveWay()) && !kind.runnerSaid() {
 		kind = paused
