--- a/gateway/pkg/forward/crash_test.go
+++ b/gateway/pkg/forward/crash_test.go
@@ -42,7 +42,6 @@
 	mu      sync.Mutex
 	crashed chan struct{}
 	backAt  time.Time
-	crashes int
 }
 
 // incarnation is closed when the runner crashes; up is false while it is gone.
@@ -60,7 +59,6 @@
 	}
 	close(gone)
 	r.crashed, r.backAt = make(chan struct{}), time.Now().Add(downTime)
-	r.crashes++
 }
 
 // crashFleet is some gateways before the same runners.
@@ -75,11 +73,12 @@
 	runs map[string]int
 }
 
-func startCrashFleet(t *testing.T, gateways, runners int) *crashFleet {
+// startCrashFleet starts gateways before twelve runners.
+func startCrashFleet(t *testing.T, gateways int) *crashFleet {
 	t.Helper()
 	f := &crashFleet{t: t, runners: map[string]*fakeRunner{}, runs: map[string]int{}}
 	var known []*toucanhingev1.Runner
-	for n := range runners {
+	for n := range 12 {
 		id := fmt.Sprintf("r%d", n)
 		f.runners[id] = &fakeRunner{crashed: make(chan struct{})}
 		known = append(known, &toucanhingev1.Runner{Id: id, Service: "llm", DataCentre: "here", Slots: 8, BornMs: 1})
@@ -230,15 +229,6 @@
 	return f.runs[body]
 }
 
-func (f *crashFleet) crashes() int {
-	sum := 0
-	for _, r := range f.runners {
-		r.mu.Lock()
-		sum += r.crashes
-		r.mu.Unlock()
-	}
-	return sum
-}
 
 // A request crashes each runner that begins to run it. Its caller sends it again, some
 // 70 ms after each answer and at another gateway each time, and each gateway tried two
@@ -249,7 +239,7 @@
 //
 // Three crashes prove it. Three runs more are borne, so that the news can travel.
 func TestARequestThatCrashesRunnersIsRefusedEverywhere(t *testing.T) {
-	f := startCrashFleet(t, 3, 12)
+	f := startCrashFleet(t, 3)
 	stop := make(chan struct{})
 	var others sync.WaitGroup
 	for n := range 10 {
@@ -294,7 +284,7 @@
 // to another runner; its caller does, by asking again. Each crash counts all the same, and
 // what is refused at last hasn't run.
 func TestACrashingRequestThatMayRunOnce(t *testing.T) {
-	f := startCrashFleet(t, 3, 12)
+	f := startCrashFleet(t, 3)
 	refused := 0
 	for turn := range 10 {
 		before := f.ran("crash")
@@ -317,7 +307,7 @@
 // Connections break off under a request again and again, but the runners live on and take
 // new ones. It isn't the cause of anything, and is tried as often as its caller asks.
 func TestBrokenConnectionsAreNoCrashes(t *testing.T) {
-	f := startCrashFleet(t, 3, 12)
+	f := startCrashFleet(t, 3)
 	for turn := range 10 {
 		got := f.ask(turn, "/stream/reset", fmt.Sprintf("q%d", turn), "reset")
 		require.Equal(t, http.StatusBadGateway, got.status)
@@ -331,7 +321,7 @@
 // known. The one that has run is told that it may have; the one that waits is refused at once.
 // Both are told when it is tried again.
 func TestAnAttemptUnderWayWhenItsRequestIsQuarantined(t *testing.T) {
-	f := startCrashFleet(t, 1, 12)
+	f := startCrashFleet(t, 1)
 	x := f.servers[0].config.Exchange
 	bad := crashes.ContentOf(http.MethodPost, "desk", "/stream/bad", []byte("crash"))
 	for n := range 2 {
