--- a/gateway/pkg/forward/crash_test.go
+++ b/gateway/pkg/forward/crash_test.go
@@ -229,7 +229,6 @@
 	return f.runs[body]
 }
 
-
 // A request crashes each runner that begins to run it. Its caller sends it again, some
 // 70 ms after each answer and at another gateway each time, and each gateway tried two
 // more runners, since neither knew the request again. Of twelve runners none was left
