Remember quarantined requests through the loss of all processes

Cause: quarantines lived in the daemons' memory only. The leader logs the quarantines when they change, a step of some 40 bytes each, and tells what the log holds when it begins to lead. Ruled out: files of the gateways, which have no disk.

--- a/common/pkg/digest/crashes.go
+++ b/common/pkg/digest/crashes.go
@@ -147,11 +147,28 @@
 	x.news.wake()
 }
 
-// Quarantined counts the requests that are kept from all runners.
-func (x *Exchange) Quarantined() int {
+// Quarantines lists the requests that are kept from all runners.
+func (x *Exchange) Quarantines() []crashes.Quarantine {
+	x.news.mu.Lock()
+	defer x.news.mu.Unlock()
+	return x.news.machine.Quarantines(x.config.Clock.Now())
+}
+
+// Impose takes over quarantines from the log. Others hear of them as of all that is known.
+func (x *Exchange) Impose(list []crashes.Quarantine) {
+	now := x.config.Clock.Now()
 	x.news.mu.Lock()
 	defer x.news.mu.Unlock()
-	return len(x.news.machine.Quarantines(x.config.Clock.Now()))
+	for _, q := range list {
+		if x.news.machine.Impose(now, q) {
+			x.logQuarantine(q, "log")
+		}
+	}
+}
+
+// Quarantined counts the requests that are kept from all runners.
+func (x *Exchange) Quarantined() int {
+	return len(x.Quarantines())
 }
 
 func (x *Exchange) logQuarantine(q crashes.Quarantine, by string) {
--- a/control/pkg/core/lead.go
+++ b/control/pkg/core/lead.go
@@ -57,8 +57,9 @@
 	term := c.group.Term()
 	c.fleet.begin(term)
 	level.Info(c.config.Logger).Log(logs.KeyEvent, "lead-begun", logs.KeyTerm, term)
-	done := make(chan struct{}, 3)
-	for _, run := range []func(context.Context){c.driver.Run, c.readDirectory, c.repair} {
+	duties := []func(context.Context){c.driver.Run, c.readDirectory, c.repair, c.keepQuarantines}
+	done := make(chan struct{}, len(duties))
+	for _, run := range duties {
 		go func() {
 			run(ctx)
 			done <- struct{}{}
@@ -66,7 +67,7 @@
 	}
 	c.holdLead(ctx, term)
 	cancel()
-	for range 3 {
+	for range duties {
 		<-done
 	}
 	level.Info(c.config.Logger).Log(logs.KeyEvent, "lead-ended", logs.KeyTerm, term)
--- a/control/pkg/systemstate/snapshot.go
+++ b/control/pkg/systemstate/snapshot.go
@@ -39,6 +39,7 @@
 			Name: v.Name, Address: v.Address, Identity: v.Identity, Retiring: v.Retiring,
 		})
 	}
+	snapshot.Quarantines = SaveQuarantines(s.quarantines)
 	return snapshot
 }
 
@@ -77,6 +78,7 @@
 	for _, v := range snapshot.GetVms() {
 		s.vms[v.GetName()] = &VM{Name: v.GetName(), Address: v.GetAddress(), Identity: v.GetIdentity(), Retiring: v.GetRetiring()}
 	}
+	s.quarantines = quarantinesOf(snapshot.GetQuarantines())
 	return s, nil
 }
 
--- a/control/pkg/systemstate/state.go
+++ b/control/pkg/systemstate/state.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/crashes"
 	"toucanhinge.example/common/pkg/routing"
 	"toucanhinge.example/control/pkg/segment"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
@@ -97,6 +98,8 @@
 	table  *routing.Table
 	jobs   map[string]*Job
 	vms    map[string]*VM
+	// quarantines are the requests that are kept from all runners, newest last.
+	quarantines []crashes.Quarantine
 }
 
 // New makes an empty state.
@@ -202,6 +205,8 @@
 		s.registerVM(x.RegisterVm)
 	case *toucanhingev1.SystemStep_KeepProgress:
 		s.keepProgress(x.KeepProgress)
+	case *toucanhingev1.SystemStep_KeepQuarantines:
+		s.quarantines = quarantinesOf(x.KeepQuarantines.GetQuarantines())
 	case *toucanhingev1.SystemStep_RetireVm:
 		return s.retireVM(x.RetireVm.GetName())
 	}
