--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
@@ -279,6 +280,10 @@
 	if e.outcome != outcomeServed && e.outcome != outcomeLeft {
 		logger = level.Warn(e.server.config.Logger)
 	}
+	if e.content != nil {
+		// The key to the lines of the request's other attempts.
+		logger = log.With(logger, logs.KeyContent, *e.content)
+	}
 	logger.Log(logs.KeyEvent, logs.EventRequestEnded, logs.KeyRequest, e.request.ID,
 		"route", e.route.Name, "version", e.server.Version(), "outcome", e.outcome, "reason", e.reason, "runners", e.tried, "ran", e.ran,
 		"expected-wait-ms", e.wait, "returned", e.returned, "waited-ms", e.waited, "first-ms", first,
