--- a/gateway/pkg/forward/crash.go
+++ b/gateway/pkg/forward/crash.go
@@ -14,6 +14,11 @@
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
+// refusalTime is how long a runner has to refuse a connection: two ways between data centres
+// and a slow VM's turn. The request waits so long before it goes on elsewhere, where a
+// machine is cut off and answers nothing.
+const refusalTime = 40 * time.Millisecond
+
 // quarantined refuses a request that crashes the runners that run it, under whatever id and
 // at whatever gateway it comes. One that is in doubt waits until all gateways have told what
 // they know: without that, one that comes again 70 ms after a crash crashes a runner more.
@@ -43,7 +48,12 @@
 // break one connection and live on; one that refuses a new connection at once doesn't.
 func (e *exchange) sightCrash(ctx context.Context, r *toucanhingev1.Runner, began clock.Millis, err error) {
 	refuses := e.server.config.Client.Refuses
-	if refuses == nil || errors.Is(err, errStatus) || errors.Is(err, errSilent) || errors.Is(err, errGap) || !refuses(ctx, r) {
+	if refuses == nil || errors.Is(err, errStatus) || errors.Is(err, errSilent) || errors.Is(err, errGap) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, refusalTime)
+	defer cancel()
+	if !refuses(ctx, r) {
 		return
 	}
 	running := clock.Millis(-1)
