--- a/common/pkg/crashes/evidence.go
+++ b/common/pkg/crashes/evidence.go
@@ -29,8 +29,9 @@
 	exposed clock.Millis = 150
 	// window is the span over which crashes for other reasons are counted.
 	window clock.Millis = 10_000
-	// settle is how long after a crash all gateways have told what they had under way there: datagrams travel a few milliseconds,
-	// small VMs are tens of milliseconds late, and a lost one comes again after 40 ms.
+	// settle is how long after a crash all gateways have told what they had under way there:
+	// datagrams travel a few milliseconds, small VMs are tens of milliseconds late, and a lost
+	// one comes again after 40 ms.
 	settle clock.Millis = 100
 )
 
--- a/common/pkg/digest/crashes.go
+++ b/common/pkg/digest/crashes.go
@@ -167,9 +167,7 @@
 }
 
 // Quarantined counts the requests that are kept from all runners.
-func (x *Exchange) Quarantined() int {
-	return len(x.Quarantines())
-}
+func (x *Exchange) Quarantined() int { return len(x.Quarantines()) }
 
 func (x *Exchange) logQuarantine(q crashes.Quarantine, by string) {
 	level.Warn(x.config.Logger).Log(logs.KeyEvent, "request-quarantined", logs.KeyContent, q.Content, "terms", q.Terms,
