--- a/common/pkg/digest/exchange.go
+++ b/common/pkg/digest/exchange.go
@@ -1,6 +1,7 @@
 // Package digest exchanges load digests between daemons by UDP. A digest is
 // small, goes out a few milliseconds after a change and replaces the one before,
-// so a lost datagram is made good by the next.
+// so a lost datagram is made good by the next. By the same socket daemons tell one
+// another which requests crash runners; that news is told several times.
 package digest
 
 import (
