Count a call's end once, and before its connection is closed

Cause: the gateway counted the calls of a silent daemon after it had closed their connections, so who saw the close could read the metric without it; a call whose end wasn't passed on yet was counted again 50 ms later. The test is unchanged. Ruled out: the news of crashes, which that test's exchange never sends.

--- a/gateway/pkg/carry/call.go
+++ b/gateway/pkg/carry/call.go
@@ -37,6 +37,8 @@
 	cancel context.CancelCauseFunc
 	// wake asks the session to pass something on soon.
 	wake func()
+	// ended says that the call was broken off here; it belongs to the session's lock.
+	ended bool
 
 	mu     sync.Mutex
 	taken  bool
--- a/gateway/pkg/carry/server.go
+++ b/gateway/pkg/carry/server.go
@@ -101,12 +101,11 @@
 	defer s.mu.Unlock()
 	for l := range s.sessions {
 		source := ""
-		ended := l.endIf(errGone, func(c *call) bool {
+		ended := l.endIf(errGone, s.ended.WithLabelValues(reasonSilent), func(c *call) bool {
 			source = c.source
 			return s.config.Overdue(c.source, c.began)
 		})
 		if ended > 0 {
-			s.ended.WithLabelValues(reasonSilent).Add(float64(ended))
 			level.Warn(s.config.Logger).Log(logs.KeyEvent, "carried-calls-ended", "for", source, "calls", ended, "reason", reasonSilent)
 		}
 	}
@@ -119,8 +118,7 @@
 	defer s.mu.Unlock()
 	s.leaving = true
 	for l := range s.sessions {
-		ended := l.endIf(errLeaving, func(*call) bool { return true })
-		s.ended.WithLabelValues(reasonLeaving).Add(float64(ended))
+		l.endIf(errLeaving, s.ended.WithLabelValues(reasonLeaving), func(*call) bool { return true })
 	}
 }
 
--- a/gateway/pkg/carry/session.go
+++ b/gateway/pkg/carry/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
 
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
@@ -62,15 +63,20 @@
 	return ended
 }
 
-// endIf ends the calls for which a test holds.
-func (s *session) endIf(cause error, test func(c *call) bool) (ended int) {
+// endIf ends the calls for which a test holds, and counts each once.
+func (s *session) endIf(cause error, count prometheus.Counter, test func(c *call) bool) (ended int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.calls {
-		if test(c) {
-			c.cancel(cause)
-			ended++
+		// A call that was ended stays listed until its end is passed on.
+		if c.ended || !test(c) {
+			continue
 		}
+		c.ended = true
+		// Counted first: whoever sees the runner's connection closed finds it in the metrics.
+		count.Inc()
+		c.cancel(cause)
+		ended++
 	}
 	return ended
 }
