Let gateways of a data centre hear the core's news from one another

Cause: the leader of the core was called by each gateway 2.5 times a second and at each change of the fleet, which it told each of them. At 1.35, 1.5 and twice the size it was late, was taken for lost, and had all gateways at its door anew.

Now, from 33 gateways on, those of a data centre form a tree of two levels (common/pkg/fanout): a root hears the leader, the square root of their number hear the root, the others each hear one of these. Who gives no news is passed over after 0.7 s; the leader names others to whoever comes, and serves those whose parents all failed. What is passed on says how far it is behind, so confirmed keys stay exact: it counts from when the question came in. Presence goes up the same way.

Tests with real connections (lab/pkg/newsfleet, 60 gateways): calls at the leader 150 a second with the tree off, at most 8 with it; a root or hub killed, frozen, cut one way, cut in its answers, all of a data centre's at once: under 0.6 s of a second; the next leader; all gateways started at once. No circle whatever each knows (rapid). Failed first: a way back that was cut cost 1.4 s, since the leader's word made a gateway ask the same one again; and a gateway was sent back and forth 12,000 times a second between the leader and one that it named.

Ruled out: one stream for each gateway in place of calls (still grows with all of them); ranks by address, by which each gateway that goes moves all behind it.

leadload could not run on (a follower without a clock); it can again.

--- a/control/pkg/core/core.go
+++ b/control/pkg/core/core.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -22,6 +23,7 @@
 	"toucanhinge.example/common/pkg/quota"
 	"toucanhinge.example/common/pkg/routing"
 	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/common/pkg/signal"
 	"toucanhinge.example/common/pkg/web"
 	"toucanhinge.example/control/pkg/batchrun"
 	"toucanhinge.example/control/pkg/carrier"
@@ -94,10 +96,12 @@
 	acquaintances *acquaintances
 	// tables wakes those who wait for a new routing table, and results those who wait for
 	// results of a job.
-	tables   *signal
+	tables   *signal.Signal
 	results  *topics
 	confirms *confirms
 	metrics  *metrics
+	// attending counts the gateways whose calls for news wait here.
+	attending atomic.Int64
 
 	identity string
 	cancel   context.CancelFunc
@@ -110,7 +114,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("data folder: %w", err)
 	}
-	c := &Core{config: config, identity: identity, fleet: newFleet(), tables: newSignal(), results: newTopics(), metrics: newMetrics(config.Registerer)}
+	c := &Core{config: config, identity: identity, fleet: newFleet(), tables: signal.New(), results: newTopics(), metrics: newMetrics(config.Registerer)}
 	c.confirms = newConfirms(func(ctx context.Context) error { return c.group.Read(ctx) })
 	c.acquaintances = recall(filepath.Join(config.Folder, "acquaintances"), config.Logger)
 	config.Core.SetAddresses(c.acquaintances.withSeeds(config.Seeds()))
@@ -232,11 +236,11 @@
 	c.driver.Notify(change)
 	switch change.Kind {
 	case systemstate.TableReplaced:
-		c.tables.fire()
+		c.tables.Fire()
 	case systemstate.ItemListed, systemstate.JobEnded:
 		c.results.fire(change.Job)
 	case systemstate.Reloaded:
-		c.tables.fire()
+		c.tables.Fire()
 		c.results.fireAll()
 	default:
 	}
--- a/control/pkg/core/fleet.go
+++ b/control/pkg/core/fleet.go
@@ -9,28 +9,38 @@
 
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/digest"
+	"toucanhinge.example/common/pkg/fanout"
 	"toucanhinge.example/common/pkg/fleetview"
+	"toucanhinge.example/common/pkg/signal"
 	"toucanhinge.example/control/pkg/carrier"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
-// presenceExpiry is how long a gateway counts as there after it last attended.
-// It attends about once a second.
-const presenceExpiry clock.Millis = 4_000
+const (
+	// presenceExpiry is how long a gateway counts as there after it last attended. In a large
+	// fleet it takes up to two seconds until the leader hears of it again.
+	presenceExpiry clock.Millis = 4_000
+	// referFresh is how long after it was heard last a gateway is named to others.
+	referFresh clock.Millis = 2_000
+)
 
 // fleet is what the leader knows of the running daemons and runners. It is not
 // durable: a new leader learns it anew within a second.
 type fleet struct {
-	changed *signal
+	changed *signal.Signal
 
 	mu       sync.Mutex
 	revision uint64
+	// began is when this leader began.
+	began clock.Millis
 	// known says that the list of runners was read since this leader began.
 	known    bool
 	runners  []*toucanhingev1.Runner
 	gateways map[string]gateway
 	// carrying lists them for calls of items, nil if it must be made anew.
 	carrying []carrier.Gateway
+	// tree has them as they hear one another, nil if it must be made anew.
+	tree *fanout.Tree
 	// vms are the VMs of the core that announced themselves, by address.
 	vms   map[string]announced
 	cores []string
@@ -51,21 +61,22 @@
 }
 
 func newFleet() *fleet {
-	return &fleet{changed: newSignal(), gateways: map[string]gateway{}, vms: map[string]announced{}}
+	return &fleet{changed: signal.New(), gateways: map[string]gateway{}, vms: map[string]announced{}}
 }
 
 // begin starts a leader's time: its revisions are above those of all before. What this
 // VM knew from an earlier time of its own is forgotten: a VM that led again after six
 // seconds sent items to runners that had been leaving all that time, until it had read
 // the list anew 200 ms later.
-func (f *fleet) begin(term uint64) {
+func (f *fleet) begin(now clock.Millis, term uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.began = now
 	f.revision = term << 32
 	f.known = false
 	f.runners = nil
 	f.gateways = map[string]gateway{}
-	f.carrying = nil
+	f.carrying, f.tree = nil, nil
 	f.vms = map[string]announced{}
 	f.told = fleetview.Log{}
 }
@@ -118,18 +129,77 @@
 	}
 }
 
-// attend notes a gateway.
-func (f *fleet) attend(now clock.Millis, name string, g gateway) {
+// attend notes a gateway that was heard at a moment.
+func (f *fleet) attend(name string, g gateway) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before, known := f.gateways[name]
-	g.heard = now
+	g.heard = max(g.heard, before.heard)
 	f.gateways[name] = g
 	if !known || before.address != g.address {
 		f.bump()
 	}
 }
 
+// refer names the gateways from which one can hear what it asks the leader for, none if it has
+// to hear that from the leader.
+func (f *fleet) refer(now clock.Millis, g gateway) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.tree == nil {
+		f.tree = f.makeTree()
+	}
+	if f.tree.Empty() {
+		return nil
+	}
+	fresh := map[string]bool{}
+	for _, other := range f.gateways {
+		fresh[other.address] = now-other.heard <= referFresh
+	}
+	var named []string
+	for _, address := range f.tree.Parents(fanout.Gateway{Address: g.address, DataCentre: g.dataCentre}) {
+		if fresh[address] {
+			named = append(named, address)
+		}
+	}
+	return named
+}
+
+func (f *fleet) makeTree() *fanout.Tree {
+	list := make([]fanout.Gateway, 0, len(f.gateways))
+	for _, g := range f.gateways {
+		list = append(list, fanout.Gateway{Address: g.address, DataCentre: g.dataCentre})
+	}
+	t := fanout.New(list)
+	return &t
+}
+
+// knownPart is the part of the gateways of before that a new leader must have heard of before it
+// tells of them. Some may have gone with the leader before.
+const knownPart = 0.9
+
+// lacks says whether this leader has just begun, and doesn't know yet of most of the gateways that
+// one knows. Told so, a gateway of a large fleet took it for a small one: it sent its digests
+// to few others, and turned to the leader for news as all of them did. The caller holds the lock.
+func (f *fleet) lacks(now clock.Millis, m *toucanhingev1.AttendRequest) bool {
+	return m.GetHaveFleet() != 0 && m.GetKnows() > fanout.MostDirect && now-f.began < gatheringTime &&
+		float64(len(f.gateways)) < knownPart*float64(m.GetKnows())
+}
+
+// gathers says whether this leader has just begun, and doesn't know the gateways yet.
+func (f *fleet) gathers(now clock.Millis) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now-f.began < gatheringTime
+}
+
+// large says whether gateways hear from one another.
+func (f *fleet) large() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.gateways) > fanout.MostDirect
+}
+
 // expire forgets gateways that fell silent.
 func (f *fleet) expire(now clock.Millis) {
 	f.mu.Lock()
@@ -160,23 +230,23 @@
 
 func (f *fleet) bump() {
 	f.revision++
-	f.carrying = nil
-	f.changed.fire()
+	f.carrying, f.tree = nil, nil
+	f.changed.Fire()
 }
 
 // view is the fleet for a gateway that holds an older revision, nil otherwise; only what changed
 // if it reads differences. A new leader tells nothing before it has read the list: gateways keep
 // what the one before told, which is at most a moment old.
-func (f *fleet) view(have uint64, differences bool, self digest.Peer) *toucanhingev1.FleetView {
+func (f *fleet) view(now clock.Millis, m *toucanhingev1.AttendRequest, self digest.Peer) *toucanhingev1.FleetView {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.known {
+	if !f.known || f.lacks(now, m) {
 		return nil
 	}
 	if f.told.Newest() != f.revision {
 		f.told.Take(f.whole(self))
 	}
-	return f.told.Since(have, differences)
+	return f.told.Since(m.GetHaveFleet(), m.GetReadsDifferences())
 }
 
 func (f *fleet) whole(self digest.Peer) *toucanhingev1.FleetView {
--- a/control/pkg/core/lead.go
+++ b/control/pkg/core/lead.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	term := c.group.Term()
-	c.fleet.begin(term)
+	c.fleet.begin(c.config.Clock.Now(), term)
 	if c.config.Quota != nil {
 		c.config.Quota.Reset(c.config.Boot.Now() + gatheringTime)
 	}
@@ -79,7 +79,7 @@
 	level.Info(c.config.Logger).Log(logs.KeyEvent, "lead-ended", logs.KeyTerm, term)
 	// Gateways that hear this VM take it that they reach the core.
 	c.config.Exchange.SetPeers(nil)
-	c.fleet.changed.fire()
+	c.fleet.changed.Fire()
 }
 
 func (c *Core) holdLead(ctx context.Context, term uint64) {
--- a/control/pkg/core/lead_again_test.go
+++ b/control/pkg/core/lead_again_test.go
@@ -14,14 +14,14 @@
 // so items would be sent there, past the time in which it takes new work.
 func TestAnEarlierListOfRunnersIsForgotten(t *testing.T) {
 	f := newFleet()
-	f.begin(4)
+	f.begin(0, 4)
 	f.setRunners([]*toucanhingev1.Runner{{Id: "stays"}, {Id: "leaves-meanwhile"}})
 	require.Len(t, f.list(), 2)
 
-	f.begin(8)
+	f.begin(0, 8)
 	require.Empty(t, f.list(), "no item is sent anywhere before the list is read")
-	require.Nil(t, f.view(0, true, digest.Peer{Address: "self"}), "gateways keep what the leader before told")
+	require.Nil(t, f.view(0, &toucanhingev1.AttendRequest{ReadsDifferences: true}, digest.Peer{Address: "self"}), "gateways keep what the leader before told")
 
 	require.True(t, f.setRunners([]*toucanhingev1.Runner{{Id: "stays"}, {Id: "leaves-meanwhile", Leaving: true}}))
-	require.Len(t, f.view(0, true, digest.Peer{Address: "self"}).GetRunners(), 2)
+	require.Len(t, f.view(0, &toucanhingev1.AttendRequest{ReadsDifferences: true}, digest.Peer{Address: "self"}).GetRunners(), 2)
 }
--- a/control/pkg/core/metrics.go
+++ b/control/pkg/core/metrics.go
@@ -9,8 +9,17 @@
 	directory *prometheus.CounterVec
 	repairs   *prometheus.CounterVec
 	jobs      *prometheus.CounterVec
+	attends   *prometheus.CounterVec
 }
 
+// Outcomes of gateways' calls for news.
+const (
+	attendAnswered = "answered"
+	attendReferred = "referred"
+	attendEarly    = "early"
+	attendCrowded  = "crowded"
+)
+
 func newMetrics(r prometheus.Registerer) *metrics {
 	factory := promauto.With(r)
 	return &metrics{
@@ -23,5 +32,8 @@
 		jobs: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "toucanhinge_jobs_total", Help: "Submitted jobs by outcome.",
 		}, []string{"outcome"}),
+		attends: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "toucanhinge_attend_calls_total", Help: "Gateways' calls for news, by outcome.",
+		}, []string{"outcome"}),
 	}
 }
--- a/control/pkg/core/service.go
+++ b/control/pkg/core/service.go
@@ -18,70 +18,13 @@
 	"toucanhinge.example/schema/gen/toucanhinge/v1/toucanhingev1connect"
 )
 
-// fleetGather is how long a change of the fleet waits for others.
-const fleetGather = 10 * time.Millisecond
-
-// mostWait bounds how long a call may be kept waiting for news.
-const mostWait = 2 * time.Second
-
 var _ toucanhingev1connect.CoreServiceHandler = (*Core)(nil)
 
-// Attend answers with what the gateway doesn't hold yet, at once if there is
-// any, else when there is or the time is up.
-func (c *Core) Attend(ctx context.Context, r *connect.Request[toucanhingev1.AttendRequest]) (*connect.Response[toucanhingev1.AttendResponse], error) {
-	if err := c.leads(); err != nil {
-		return nil, err
-	}
-	m := r.Msg
-	if m.GetConfirm() {
-		// A leader that was frozen or cut off believes in itself for a moment; meanwhile
-		// another one may have acknowledged that a key is taken away.
-		if err := c.confirm(ctx); err != nil {
-			return nil, c.refusal(err)
-		}
-	}
-	c.fleet.attend(c.config.Clock.Now(), m.GetName(), gateway{address: m.GetDigestAddress(), dataCentre: m.GetDataCentre()})
-	timer := time.NewTimer(wait(m.GetWaitMs()))
-	defer timer.Stop()
-	for {
-		state, fleet := c.tables.next(), c.fleet.changed.next()
-		answer := &toucanhingev1.AttendResponse{Fleet: c.fleet.view(m.GetHaveFleet(), m.GetReadsDifferences(), c.self()), Confirmed: m.GetConfirm()}
-		if t := c.inForce(); t != nil && t.Version > m.GetHaveVersion() {
-			answer.Table = t.Lean()
-		}
-		if err := c.leads(); err != nil {
-			return nil, err
-		}
-		if answer.Fleet != nil && m.GetHaveFleet() == 0 && c.config.Quota != nil {
-			uses, known := c.config.Quota.Snapshot(c.config.Boot.Now())
-			answer.Uses, answer.UsesKnownMs = uses, uint32(known)
-		}
-		if answer.Table != nil || answer.Fleet != nil {
-			return connect.NewResponse(answer), nil
-		}
-		select {
-		case <-state:
-		case <-fleet:
-			// Gateways come one after the other when a leader begins; each would
-			// else be told of each.
-			time.Sleep(fleetGather)
-		case <-timer.C:
-			return connect.NewResponse(answer), nil
-		case <-ctx.Done():
-			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
-		}
-	}
-}
-
 // self is this VM as a daemon that takes load digests.
 func (c *Core) self() digest.Peer {
 	return digest.Peer{Address: c.config.Address, DataCentre: c.config.DataCentre, Core: true}
 }
 
-func wait(ms uint32) time.Duration {
-	return min(time.Duration(ms)*time.Millisecond, mostWait)
-}
-
 // Announce notes a VM of the core.
 func (c *Core) Announce(_ context.Context, r *connect.Request[toucanhingev1.AnnounceRequest]) (*connect.Response[toucanhingev1.AnnounceResponse], error) {
 	if err := c.leads(); err != nil {
--- a/control/pkg/core/signal.go
+++ b/control/pkg/core/topics.go
@@ -2,29 +2,6 @@
 
 import "sync"
 
-// signal wakes all that wait, each time it fires.
-type signal struct {
-	mu      sync.Mutex
-	waiting chan struct{}
-}
-
-func newSignal() *signal { return &signal{waiting: make(chan struct{})} }
-
-// next returns a channel that is closed when the signal fires the next time.
-// Take it before looking at what the signal tells of.
-func (s *signal) next() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.waiting
-}
-
-func (s *signal) fire() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	close(s.waiting)
-	s.waiting = make(chan struct{})
-}
-
 // topics are signals by name. With one signal for all, each of some hundred results a second
 // woke all of the hundreds of readers and gateways that waited for something else.
 type topics struct {
--- a/gateway/pkg/core/follower.go
+++ b/gateway/pkg/core/follower.go
@@ -1,20 +1,26 @@
-// Package core follows the core: it tells the leader that this gateway is there,
-// and takes over routing tables, runners and the addresses of other daemons.
+// Package core follows the core: it tells that this gateway is there, and takes over routing
+// tables, runners and the addresses of other daemons. In a large fleet it hears them from other
+// gateways of its data centre; see package fanout.
 package core
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
 
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/control"
+	"toucanhinge.example/common/pkg/fanout"
 	"toucanhinge.example/common/pkg/fleetview"
 	"toucanhinge.example/common/pkg/logs"
 	"toucanhinge.example/common/pkg/routing"
+	"toucanhinge.example/gateway/pkg/news"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
@@ -27,8 +33,13 @@
 	// itself lags by almost one.
 	waitTime   = 400 * time.Millisecond
 	answerTime = 700 * time.Millisecond
-	// failurePause is the pause after a call that found no leader.
-	failurePause = 100 * time.Millisecond
+	// relayWaitTime is the same for another gateway. It answers when it hears itself, at the
+	// latest after waitTime and a way.
+	relayWaitTime = 500 * time.Millisecond
+	// failurePause is the least pause after a call that found no leader; all gateways of the
+	// fleet look for it then, so none keeps step with the others.
+	failurePause = 50 * time.Millisecond
+	pauseSpread  = 100 * time.Millisecond
 	// attendTime bounds one round of looking for the leader.
 	attendTime = 4 * time.Second
 )
@@ -41,6 +52,8 @@
 	// Core calls the leader, wherever it is.
 	Core   *control.Client
 	Logger log.Logger
+	// Board passes on to other gateways what is heard here.
+	Board *news.Board
 	// Table and Fleet take over what is new.
 	Table func(*routing.Table)
 	Fleet func(*toucanhingev1.FleetView)
@@ -50,7 +63,7 @@
 	// Boot goes on while the machine is suspended. Heard is told that all that the leader knew
 	// at a point of it is taken over; with Confirm, all that was acknowledged before.
 	Boot    clock.Clock
-	Heard   func(asked clock.Millis)
+	Heard   func(point clock.Millis)
 	Confirm bool
 	// Seeds lists addresses to fall back on when no known VM of the core answers.
 	Seeds func() []string
@@ -58,65 +71,145 @@
 
 // Follower follows the core.
 type Follower struct {
-	config  Config
-	version uint64
-	fleet   fleetview.Picture
+	config   Config
+	version  uint64
+	fleet    fleetview.Picture
+	upstream *upstream
+	relays   relays
 	// begun says that a first view was taken.
 	begun bool
 	// asked is when the present try of a call began.
 	asked clock.Millis
+	// knows is how many gateways there are by the fleet.
+	knows int
+	// heardAt is when anything was heard last.
+	heardAt clock.Millis
+	// told is who heard last which gateways hear from this one, empty if that failed.
+	told string
 }
 
 // New makes a follower.
-func New(config Config) *Follower { return &Follower{config: config} }
+func New(config Config) *Follower {
+	return &Follower{
+		config:   config,
+		upstream: newUpstream(fanout.Gateway{Address: config.DigestAddress, DataCentre: config.DataCentre}),
+	}
+}
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	defer f.relays.close()
 	for ctx.Err() == nil {
-		if err := f.once(ctx); err != nil && ctx.Err() == nil {
-			level.Warn(f.config.Logger).Log(logs.KeyEvent, "core-unreachable", logs.KeyError, err)
-			if seeds := f.config.Seeds(); len(seeds) > 0 {
-				f.config.Core.SetAddresses(seeds)
-			}
+		gateway, insists := f.upstream.next(f.config.Boot.Now())
+		if gateway != "" {
+			f.askGateway(ctx, gateway)
+			continue
+		}
+		if pause := f.askLeader(ctx, insists); pause > 0 {
 			select {
 			case <-ctx.Done():
-			case <-time.After(failurePause):
+			case <-time.After(pause):
 			}
 		}
 	}
 }
 
-func (f *Follower) once(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, attendTime)
+// askGateway hears from another gateway, or passes it over for a while.
+func (f *Follower) askGateway(parent context.Context, gateway string) {
+	ctx, cancel := context.WithTimeout(parent, answerTime)
 	defer cancel()
-	answer, err := control.Call(ctx, f.config.Core, group, "attend", f.attend)
-	if err != nil {
-		return err
+	answer, err := f.ask(ctx, gateway, f.relays.client(gateway).Attend, relayWaitTime, false)
+	if err == nil && clock.Millis(answer.GetBehindMs()) > mostBehind {
+		err = fmt.Errorf("%w: %d ms", errBehind, answer.GetBehindMs())
+	}
+	if parent.Err() != nil {
+		return
 	}
-	if f.take(answer) && answer.GetConfirmed() == f.config.Confirm {
-		f.config.Heard(f.asked)
+	// What is behind may still be newer than what is held here.
+	if answer == nil || !f.take(answer) || err != nil {
+		level.Info(f.config.Logger).Log(logs.KeyEvent, "news-unheard", "gateway", gateway, logs.KeyError, err)
+		f.relays.drop(gateway)
+		f.upstream.failed(f.config.Boot.Now(), gateway, errors.Is(err, errBehind))
+		return
 	}
-	return nil
+	f.hear(answer)
 }
 
-func (f *Follower) attend(ctx context.Context, leader *control.Replica) (*toucanhingev1.AttendResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, answerTime)
+var errBehind = errors.New("the gateway's news are too far behind")
+
+// askLeader hears from the leader, and returns how long to pause before the next call.
+func (f *Follower) askLeader(ctx context.Context, insists bool) (pause time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, attendTime)
 	defer cancel()
+	answer, err := control.Call(ctx, f.config.Core, group, "attend", func(ctx context.Context, leader *control.Replica) (*toucanhingev1.AttendResponse, error) {
+		ctx, cancel := context.WithTimeout(ctx, answerTime)
+		defer cancel()
+		return f.ask(ctx, leader.Address, leader.Core.Attend, waitTime, insists)
+	})
+	switch {
+	case err != nil && ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled):
+		return 0
+	case err != nil:
+		level.Warn(f.config.Logger).Log(logs.KeyEvent, "core-unreachable", logs.KeyError, err)
+		if seeds := f.config.Seeds(); len(seeds) > 0 {
+			f.config.Core.SetAddresses(seeds)
+		}
+		return failurePause + spread(pauseSpread)
+	case answer.GetRetryMs() > 0:
+		wait := time.Duration(answer.GetRetryMs()) * time.Millisecond
+		return wait/2 + spread(wait)
+	case len(answer.GetAsk()) > 0:
+		f.upstream.refer(f.config.Boot.Now(), answer.GetAsk())
+	case f.take(answer):
+		f.hear(answer)
+	}
+	return 0
+}
+
+// spread keeps gateways that failed together from coming back together.
+func spread(span time.Duration) time.Duration { return rand.N(span) }
+
+// attend is a call for news, of the leader or of another gateway.
+type attend func(context.Context, *connect.Request[toucanhingev1.AttendRequest]) (*connect.Response[toucanhingev1.AttendResponse], error)
+
+func (f *Follower) ask(ctx context.Context, address string, call attend, wait time.Duration, insists bool) (*toucanhingev1.AttendResponse, error) {
 	// Each try asks anew: an answer confirms what was acknowledged before its own question.
 	f.asked = f.config.Boot.Now()
-	answer, err := leader.Core.Attend(ctx, connect.NewRequest(&toucanhingev1.AttendRequest{
+	first := address != f.told
+	if first && f.asked-f.heardAt > clock.Millis(waitTime.Milliseconds()) {
+		// Those who hear from here have waited long enough.
+		wait = 0
+	}
+	request := &toucanhingev1.AttendRequest{
 		Name: f.config.Name, DigestAddress: f.config.DigestAddress, DataCentre: f.config.DataCentre, HaveVersion: f.version, HaveFleet: f.fleet.Revision(),
-		ReadsDifferences: true, WaitMs: uint32(waitTime.Milliseconds()), Confirm: f.config.Confirm,
-	}))
+		ReadsDifferences: true, WaitMs: uint32(wait.Milliseconds()), Confirm: f.config.Confirm, Insists: insists, HasParents: f.upstream.hasParents(),
+		Knows:  uint32(f.knows),
+		Passed: f.config.Board.Attendances(first),
+	}
+	f.told = ""
+	answer, err := call(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, err
 	}
+	f.told = address
 	return answer.Msg, nil
 }
 
+// hear notes up to when all that the leader knew is here.
+func (f *Follower) hear(answer *toucanhingev1.AttendResponse) {
+	f.upstream.heard()
+	f.heardAt = f.config.Boot.Now()
+	if answer.GetConfirmed() != f.config.Confirm {
+		return
+	}
+	point := f.asked - clock.Millis(answer.GetBehindMs())
+	f.config.Heard(point)
+	f.config.Board.Heard(point)
+}
+
 // take takes over what is new; ok is false if it can't be read.
 func (f *Follower) take(answer *toucanhingev1.AttendResponse) (ok bool) {
-	if wire := answer.GetTable(); wire != nil {
+	if wire := answer.GetTable(); wire.GetVersion() > f.version {
 		table, err := routing.New(wire)
 		if err != nil {
 			level.Error(f.config.Logger).Log(logs.KeyEvent, "table-unreadable", "version", wire.GetVersion(), logs.KeyError, err)
@@ -124,6 +217,7 @@
 		}
 		f.version = table.Version
 		f.config.Table(table)
+		f.config.Board.SetTable(table)
 	}
 	if told := answer.GetFleet(); told != nil {
 		return f.takeFleet(told, answer)
@@ -132,6 +226,10 @@
 }
 
 func (f *Follower) takeFleet(told *toucanhingev1.FleetView, answer *toucanhingev1.AttendResponse) (ok bool) {
+	if told.GetRevision() <= f.fleet.Revision() {
+		// An earlier leader, or a gateway that hears one, doesn't know yet that there is another.
+		return true
+	}
 	fleet, ok := f.fleet.Take(told)
 	if !ok {
 		level.Error(f.config.Logger).Log(logs.KeyEvent, "fleet-unusable", "since", told.GetSince(), "revision", told.GetRevision(),
@@ -146,9 +244,23 @@
 		"runners", len(fleet.GetRunners()), "leaving", leaving(fleet), "cores", len(fleet.GetCoreAddresses()), "daemons", len(fleet.GetDigestPeers()))
 	f.config.Core.SetAddresses(fleet.GetCoreAddresses())
 	f.config.Fleet(fleet)
+	f.config.Board.SetFleet(fleet)
+	gateways := gatewaysOf(fleet)
+	f.knows = len(gateways)
+	f.upstream.setTree(fanout.New(gateways))
 	return true
 }
 
+func gatewaysOf(fleet *toucanhingev1.FleetView) []fanout.Gateway {
+	var gateways []fanout.Gateway
+	for _, p := range fleet.GetDigestPeers() {
+		if !p.GetCore() {
+			gateways = append(gateways, fanout.Gateway{Address: p.GetAddress(), DataCentre: p.GetDataCentre()})
+		}
+	}
+	return gateways
+}
+
 func leaving(fleet *toucanhingev1.FleetView) int {
 	count := 0
 	for _, r := range fleet.GetRunners() {
--- a/lab/pkg/leadload/gateways.go
+++ b/lab/pkg/leadload/gateways.go
@@ -24,6 +24,7 @@
 	"toucanhinge.example/common/pkg/web"
 	"toucanhinge.example/gateway/pkg/carry"
 	"toucanhinge.example/gateway/pkg/core"
+	"toucanhinge.example/gateway/pkg/news"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 	"toucanhinge.example/schema/gen/toucanhinge/v1/toucanhingev1connect"
 )
@@ -89,7 +90,13 @@
 		Registerer: prometheus.NewRegistry(),
 	})
 	mux.Handle(toucanhingev1connect.NewCarryServiceHandler(carried))
+	board := news.New(news.Config{
+		Boot: clock.Boot(), Registerer: prometheus.NewRegistry(),
+		Uses: func() ([]*toucanhingev1.TeamUse, clock.Millis) { return nil, 0 },
+	})
+	mux.Handle(toucanhingev1connect.NewNewsServiceHandler(board))
 	follower := core.New(core.Config{
+		Board: board, Boot: clock.Boot(), Heard: func(clock.Millis) {}, Uses: func([]*toucanhingev1.TeamUse, clock.Millis) {},
 		Name: fmt.Sprintf("gateway-%d", i), DigestAddress: server.Address(), DataCentre: dataCentre(i), Core: newClient(g.Addresses),
 		Logger: log.NewNopLogger(), Table: func(*routing.Table) {},
 		Fleet: func(f *toucanhingev1.FleetView) { x.SetPeers(digest.PeersOf(f)) },
--- /dev/null
+++ b/lab/pkg/newsfleet/vm.go
@@ -0,0 +1,139 @@
+package newsfleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/control"
+	"toucanhinge.example/common/pkg/digest"
+	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/common/pkg/web"
+	"toucanhinge.example/control/pkg/core"
+	"toucanhinge.example/lab/pkg/process"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+	"toucanhinge.example/schema/gen/toucanhinge/v1/toucanhingev1connect"
+)
+
+var errNoRunner = errors.New("no runner takes work here")
+
+// VM is one of the core.
+type VM struct {
+	name      string
+	address   string
+	addresses []string
+	folder    string
+	// founders form the group at the first start.
+	founders []string
+	runners  func() []*toucanhingev1.Runner
+
+	mu       sync.Mutex
+	running  bool
+	core     *core.Core
+	server   *web.Server
+	registry *prometheus.Registry
+	cancel   context.CancelFunc
+	// attends keeps the counts of earlier starts.
+	attends map[string]float64
+}
+
+func freeAddress() (string, error) { return process.FreeAddress() }
+
+// Start starts the VM's process, with what its disk holds.
+func (v *VM) Start() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	x, err := digest.Listen(digest.Config{
+		Address: v.address, Source: v.name, DataCentre: centre(0), Core: true, Clock: clock.System(), Logger: log.NewNopLogger(),
+		Version: func() uint64 { return 0 },
+	})
+	if err != nil {
+		return fmt.Errorf("exchange: %w", err)
+	}
+	v.registry = prometheus.NewRegistry()
+	v.core, err = core.Open(core.Config{
+		Name: v.name, Address: v.address, DataCentre: centre(0), Folder: v.folder, Founders: v.founders, Losses: 1,
+		Clock: clock.System(), Boot: clock.Boot(), Logger: log.NewNopLogger(), Registerer: v.registry, Exchange: x,
+		Runners:   runner.Client{Open: func(context.Context, runner.Call) (*runner.Answer, error) { return nil, errNoRunner }},
+		Directory: func(context.Context) ([]*toucanhingev1.Runner, error) { return v.runners(), nil },
+		Core:      newClient(v.addresses), Seeds: func() []string { return v.addresses },
+		Fatal: func(error) {},
+	})
+	if err != nil {
+		return fmt.Errorf("core: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(toucanhingev1connect.NewReplicaServiceHandler(v.core.Replicas()))
+	mux.Handle(toucanhingev1connect.NewCoreServiceHandler(v.core))
+	if v.server, err = web.Listen(v.address, mux); err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	go func() { _ = v.server.Serve() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	go x.Run(ctx)
+	v.core.Start()
+	v.running, v.founders = true, nil
+	return nil
+}
+
+// Kill ends the VM's process without a hand-over; its disk stays.
+func (v *VM) Kill() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.running {
+		return
+	}
+	v.running = false
+	if v.attends == nil {
+		v.attends = map[string]float64{}
+	}
+	counterValues(v.registry, attendCounter, v.attends)
+	dead, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = v.server.Shutdown(dead)
+	v.cancel()
+	v.core.Stop(dead)
+}
+
+// attendCounter counts gateways' calls for news at a VM of the core.
+const attendCounter = "toucanhinge_attend_calls_total"
+
+func (v *VM) addAttends(counts map[string]float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for outcome, count := range v.attends {
+		counts[outcome] += count
+	}
+	if v.running {
+		counterValues(v.registry, attendCounter, counts)
+	}
+}
+
+// Leads says whether the VM runs and leads.
+func (v *VM) Leads() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.running && v.core.Leader() == v.address
+}
+
+func (v *VM) replaceTable(ctx context.Context, table *toucanhingev1.RoutingTable) error {
+	v.mu.Lock()
+	vm, running := v.core, v.running
+	v.mu.Unlock()
+	if !running {
+		return errNoRunner
+	}
+	_, err := vm.ReplaceTable(ctx, table)
+	return err
+}
+
+func newClient(addresses []string) *control.Client {
+	return control.New(control.Config{Addresses: addresses, Fresh: web.NewClient, FindLeader: control.NamedByCore})
+}
--- a/schema/gen/toucanhinge/v1/toucanhingev1connect/core.connect.go
+++ b/schema/gen/toucanhinge/v1/toucanhingev1connect/core.connect.go
@@ -23,6 +23,8 @@
 const (
 	// CoreServiceName is the fully-qualified name of the CoreService service.
 	CoreServiceName = "toucanhinge.v1.CoreService"
+	// NewsServiceName is the fully-qualified name of the NewsService service.
+	NewsServiceName = "toucanhinge.v1.NewsService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -49,6 +51,8 @@
 	CoreServiceEndJobProcedure = "/toucanhinge.v1.CoreService/EndJob"
 	// CoreServiceListTeamsProcedure is the fully-qualified name of the CoreService's ListTeams RPC.
 	CoreServiceListTeamsProcedure = "/toucanhinge.v1.CoreService/ListTeams"
+	// NewsServiceAttendProcedure is the fully-qualified name of the NewsService's Attend RPC.
+	NewsServiceAttendProcedure = "/toucanhinge.v1.NewsService/Attend"
 )
 
 // CoreServiceClient is a client for the toucanhinge.v1.CoreService service.
@@ -312,3 +316,75 @@
 func (UnimplementedCoreServiceHandler) ListTeams(context.Context, *connect.Request[v1.ListTeamsRequest]) (*connect.Response[v1.ListTeamsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("toucanhinge.v1.CoreService.ListTeams is not implemented"))
 }
+
+// NewsServiceClient is a client for the toucanhinge.v1.NewsService service.
+type NewsServiceClient interface {
+	// Attend is answered as the leader would, as far as the gateway heard of it.
+	Attend(context.Context, *connect.Request[v1.AttendRequest]) (*connect.Response[v1.AttendResponse], error)
+}
+
+// NewNewsServiceClient constructs a client for the toucanhinge.v1.NewsService service. By default,
+// it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and
+// sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC()
+// or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewNewsServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) NewsServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	newsServiceMethods := v1.File_toucanhinge_v1_core_proto.Services().ByName("NewsService").Methods()
+	return &newsServiceClient{
+		attend: connect.NewClient[v1.AttendRequest, v1.AttendResponse](
+			httpClient,
+			baseURL+NewsServiceAttendProcedure,
+			connect.WithSchema(newsServiceMethods.ByName("Attend")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// newsServiceClient implements NewsServiceClient.
+type newsServiceClient struct {
+	attend *connect.Client[v1.AttendRequest, v1.AttendResponse]
+}
+
+// Attend calls toucanhinge.v1.NewsService.Attend.
+func (c *newsServiceClient) Attend(ctx context.Context, req *connect.Request[v1.AttendRequest]) (*connect.Response[v1.AttendResponse], error) {
+	return c.attend.CallUnary(ctx, req)
+}
+
+// NewsServiceHandler is an implementation of the toucanhinge.v1.NewsService service.
+type NewsServiceHandler interface {
+	// Attend is answered as the leader would, as far as the gateway heard of it.
+	Attend(context.Context, *connect.Request[v1.AttendRequest]) (*connect.Response[v1.AttendResponse], error)
+}
+
+// NewNewsServiceHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewNewsServiceHandler(svc NewsServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	newsServiceMethods := v1.File_toucanhinge_v1_core_proto.Services().ByName("NewsService").Methods()
+	newsServiceAttendHandler := connect.NewUnaryHandler(
+		NewsServiceAttendProcedure,
+		svc.Attend,
+		connect.WithSchema(newsServiceMethods.ByName("Attend")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/toucanhinge.v1.NewsService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case NewsServiceAttendProcedure:
+			newsServiceAttendHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedNewsServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedNewsServiceHandler struct{}
+
+func (UnimplementedNewsServiceHandler) Attend(context.Context, *connect.Request[v1.AttendRequest]) (*connect.Response[v1.AttendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("toucanhinge.v1.NewsService.Attend is not implemented"))
+}
