Take a late control VM no longer for a lost one

Cause: a call that got no answer in time ended its connection, and the next one made another. Now such a VM is asked for the leader's name over the same connection, once at a time; if it answers within 0.6 s the connection is kept. A connection that is silent for good is replaced as soon as before the VM counts again. Pauses of searches and retries are spread.

Ruled out: longer time limits (a lost leader would be missed for as long).

--- a/common/pkg/control/client.go
+++ b/common/pkg/control/client.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -29,12 +31,16 @@
 	// off from it too name it until they have elected another one, within 0.6 s. A
 	// longer time kept gateways from a leader that had lost power and was back.
 	suspectTime = 700 * time.Millisecond
+	// probeTime is how long a control VM that gave no answer in time may take to prove that its
+	// connection works: less than it is passed over.
+	probeTime = 600 * time.Millisecond
 )
 
 // Reasons under which retries are counted.
 const (
 	reasonNotLeader   = "not-leader"
 	reasonUnreachable = "unreachable"
+	reasonLate        = "late"
 )
 
 // Replica holds the calls to one control VM.
@@ -47,6 +53,8 @@
 	Core      toucanhingev1connect.CoreServiceClient
 
 	http *http.Client
+	// probed says that it is being looked whether its connection works.
+	probed atomic.Bool
 }
 
 // Config describes the client.
@@ -204,6 +212,35 @@
 	c.drop(r)
 }
 
+// doubt notes that a control VM gave no answer in time. It may be gone, its connection may be
+// silent for good, or it is slow. What still answers keeps its connection: when a leader was
+// late for a second, each of hundreds of callers left its connection behind and made a new one, which
+// took all the leader's files and memory.
+func (c *Client) doubt(r *Replica) {
+	if c.config.FindLeader == nil || c.config.Fresh == nil {
+		c.accuse(r)
+		return
+	}
+	c.mu.Lock()
+	c.suspects[r.Address] = time.Now()
+	c.mu.Unlock()
+	if r.probed.CompareAndSwap(false, true) {
+		go c.probe(r)
+	}
+}
+
+// probe drops the connections to a control VM that doesn't answer the shortest of calls either.
+func (c *Client) probe(r *Replica) {
+	defer r.probed.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	defer cancel()
+	if _, err := c.config.FindLeader(ctx, r); err != nil {
+		c.drop(r)
+		return
+	}
+	c.acquit(r)
+}
+
 // Call runs one call on the group's leader, and looks for the leader until the
 // context ends. It repeats a try whose outcome it does not know, so the call
 // must be idempotent: all calls of the schema to the leader carry their own
@@ -229,6 +266,8 @@
 		}
 		reason, again := c.blame(group, err)
 		switch reason {
+		case reasonLate:
+			c.doubt(replica)
 		case reasonUnreachable:
 			c.accuse(replica)
 		case reasonNotLeader:
@@ -264,7 +303,10 @@
 		return "", false
 	}
 	switch failure.Code() {
-	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled:
+	case connect.CodeDeadlineExceeded:
+		c.learn(group, "")
+		return reasonLate, true
+	case connect.CodeUnavailable, connect.CodeCanceled:
 		c.learn(group, "")
 		return reasonUnreachable, true
 	case connect.CodeUnknown:
@@ -281,8 +323,10 @@
 	}
 }
 
+// wait pauses for about a span. Callers that failed at the same moment don't come back at the
+// same one.
 func wait(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
+	timer := time.NewTimer(pause/2 + rand.N(pause))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/common/pkg/control/find.go
+++ b/common/pkg/control/find.go
@@ -58,6 +58,8 @@
 		return leader
 	case errors.Is(ctx.Err(), context.Canceled):
 		// Another one was faster.
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		c.doubt(r)
 	default:
 		c.accuse(r)
 	}
--- a/common/pkg/web/server.go
+++ b/common/pkg/web/server.go
@@ -22,6 +22,9 @@
 	headerBytes   = 64 << 10
 	frameBytes    = 1 << 20
 	streamsPerTCP = 10_000
+	// idlePing is the silence after which a caller is asked whether it is there: one that lost
+	// power leaves its connection, with its memory, until the idle timeout.
+	idlePing = 15 * time.Second
 )
 
 // Server is one listening address.
@@ -47,11 +50,19 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    headerBytes,
-			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: streamsPerTCP, MaxReadFrameSize: frameBytes},
+			HTTP2: &http.HTTP2Config{
+				MaxConcurrentStreams: streamsPerTCP, MaxReadFrameSize: frameBytes, SendPingTimeout: idlePing, PingTimeout: pingTime,
+			},
 		},
 	}, nil
 }
 
+// Bound keeps the server from having more connections than a number. It is told of each that
+// is turned away. Call it before Serve.
+func (s *Server) Bound(most int, turned func()) {
+	s.listener = &limited{Listener: s.listener, most: int64(most), turned: turned}
+}
+
 // Address is where the server listens, with the port the system chose if 0 was asked for.
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
