Choose a place without putting all places in order

Cause: each choice, and each look of a request that waits (at each digest, up to 125 times a second), read five entries for each runner and sorted up to four places of each: 0.5 ms at 600 runners, on VMs with a seventh of a core. Now loads are kept and only those that changed are read (occupancy.Cache, which the driver of items uses as well), and the best places are kept in a heap.

The same places are taken: a rapid test compares with the sorted list. What only runs out of time (foreign work, silence) counts 0.1 s longer at most.

--- a/common/pkg/occupancy/table.go
+++ b/common/pkg/occupancy/table.go
@@ -126,6 +126,7 @@
 // SetSilent notes that a runner, with own calls under way, has said nothing for too
 // long, or that it speaks again.
 func (t *Table) SetSilent(now clock.Millis, runner string, silent bool) {
+	t.noteChange(runner)
 	if silent {
 		t.ownSilent[runner] = now + SilentFor
 	} else {
--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -81,7 +81,7 @@
 	progress map[dispatch.Key]*progress
 	routes   *routes
 	limiter  *startLimiter
-	loads    loads
+	loads    *occupancy.Cache[dispatch.Load]
 	pace     pace
 	commits  *groupCommit
 	keptAt   clock.Millis
@@ -117,7 +117,7 @@
 	d.progress = map[dispatch.Key]*progress{}
 	d.routes = newRoutes(d.config.Machine)
 	d.limiter = newStartLimiter()
-	d.loads, d.pace = loads{}, pace{}
+	d.loads, d.pace = &occupancy.Cache[dispatch.Load]{Read: loadAt}, pace{}
 	d.takeChanges()
 	d.takeEnded()
 	d.reload()
@@ -216,7 +216,7 @@
 	began := time.Now()
 	runners := d.config.Runners()
 	var changed []*toucanhingev1.Runner
-	d.config.Exchange.View(func(t *occupancy.Table) { changed = d.loads.refresh(now, runners, t) })
+	d.config.Exchange.View(func(t *occupancy.Table) { changed = d.loads.Refresh(now, runners, t) })
 	around := d.surroundings(runners)
 	if left := d.pace.left(began); left > 0 {
 		d.act(ctx, d.machine.Yield(now, changed, around))
@@ -272,10 +272,18 @@
 	}
 }
 
+// loadAt is what other daemons have under way at a runner.
+func loadAt(now clock.Millis, id string, t *occupancy.Table) dispatch.Load {
+	total, own := t.Load(id), t.Own(id)
+	return dispatch.Load{
+		Online: total.Online, Batch: total.Batch - own.Batch, Foreign: t.Foreign(now, id), Silent: t.Silent(now, id),
+	}
+}
+
 func (d *Driver) surroundings(runners []*toucanhingev1.Runner) dispatch.Surroundings {
 	return dispatch.Surroundings{
 		Runners:  runners,
-		Load:     d.loads.at,
+		Load:     d.loads.At,
 		Services: d.routes.services,
 		Near:     func(r *toucanhingev1.Runner) bool { return r.GetDataCentre() == d.config.DataCentre },
 	}
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -55,6 +55,8 @@
 
 	mu       sync.Mutex
 	places   *place.Machine
+	loads    *occupancy.Cache[place.Load]
+	runners  []*toucanhingev1.Runner
 	gateways int
 	patience *admission.Patience
 	room     admission.Room
@@ -83,7 +85,7 @@
 	}, func() float64 { return float64(config.Exchange.Quarantined()) })
 	return &Server{
 		config: config, places: place.New(place.Config{DataCentre: config.DataCentre}),
-		patience: admission.NewPatience(), freed: make(chan struct{}), begun: make(chan struct{}),
+		loads: &occupancy.Cache[place.Load]{Read: loadAt}, patience: admission.NewPatience(), freed: make(chan struct{}), begun: make(chan struct{}),
 		metrics: &metrics{
 			requests: factory.NewCounterVec(prometheus.CounterOpts{
 				Name: "toucanhinge_requests_total", Help: "Online requests by outcome.",
@@ -139,6 +141,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.places.SetRunners(runners)
+	s.runners = runners
 	s.gateways = gateways
 	s.fleetKnown.Store(true)
 	s.begin()
@@ -213,16 +216,20 @@
 	ok := false
 	s.config.Exchange.View(func(t *occupancy.Table) {
 		now := s.config.Clock.Now()
-		choice, ok = s.places.Choose(now, ask, func(id string) place.Load {
-			l := t.Load(id)
-			return place.Load{
-				Online: l.Online, Own: t.Own(id).Online, Batch: l.Batch, Foreign: t.Foreign(now, id), Silent: t.Silent(now, id),
-			}
-		})
+		s.loads.Refresh(now, s.runners, t)
+		choice, ok = s.places.Choose(now, ask, s.loads.At)
 	})
 	return choice, ok
 }
 
+// loadAt is what all daemons have under way at a runner.
+func loadAt(now clock.Millis, id string, t *occupancy.Table) place.Load {
+	l := t.Load(id)
+	return place.Load{
+		Online: l.Online, Own: t.Own(id).Online, Batch: l.Batch, Foreign: t.Foreign(now, id), Silent: t.Silent(now, id),
+	}
+}
+
 // conditions tells how long a request of a service holds its place, and whether
 // enough of a team wait for one here.
 func (s *Server) conditions(service, team string) (hold clock.Millis, crowded bool) {
--- a/gateway/pkg/place/place.go
+++ b/gateway/pkg/place/place.go
@@ -8,7 +8,6 @@
 package place
 
 import (
-	"cmp"
 	"slices"
 
 	"toucanhinge.example/common/pkg/clock"
@@ -158,45 +157,12 @@
 	return Choice{Runner: best.runner, Wait: clock.Millis(best.wait), Turn: best.turn}, true
 }
 
-// offer is one place at a runner, or one turn in its queue.
-type offer struct {
-	runner *toucanhingev1.Runner
-	turn   int
-	wait   float64
-	cost   float64
-}
-
-// offers lists the best places, as many as requests are being placed at this moment.
-func (m *Machine) offers(now clock.Millis, able []*toucanhingev1.Runner, ask Ask, hold float64, load func(runner string) Load) []offer {
-	loads := make([]Load, len(able))
-	others := 0
-	for i, r := range able {
-		loads[i] = load(r.GetId())
-		others += loads[i].Online - loads[i].Own
-	}
-	// As many requests arrive in a span as are under way, each for a hold.
-	wanted := 1 + int(spread*float64(others)*float64(ask.Age)/hold+0.5)
-	offset := int(ask.Tie * float64(len(able)))
-	list := make([]offer, 0, len(able)*min(wanted, mostOffers))
-	for i := range able {
-		at := (i + offset) % len(able)
-		r, l := able[at], loads[at]
-		for range min(wanted, mostOffers) {
-			turn := turnAt(r, l)
-			wait := float64(turn) * hold / float64(r.GetSlots())
-			list = append(list, offer{runner: r, turn: turn, wait: wait, cost: wait + m.extra(now, r, l)})
-			l.Online++
-		}
-	}
-	slices.SortStableFunc(list, func(a, b offer) int { return cmp.Compare(a.cost, b.cost) })
-	return list[:min(wanted, len(list))]
-}
-
 func (m *Machine) able(now clock.Millis, ask Ask) []*toucanhingev1.Runner {
-	var able, tried []*toucanhingev1.Runner
+	able := make([]*toucanhingev1.Runner, 0, len(m.runners))
+	var tried []*toucanhingev1.Runner
 	for _, r := range m.runners {
 		switch {
-		case r.GetService() != ask.Service || r.GetLeaving() || m.blocked[r.GetId()] > now:
+		case r.GetService() != ask.Service || r.GetLeaving() || len(m.blocked) > 0 && m.blocked[r.GetId()] > now:
 		case slices.Contains(ask.Tried, r.GetId()):
 			tried = append(tried, r)
 		default:
@@ -216,21 +182,28 @@
 	return max(load.Online+load.Foreign-int(r.GetSlots())+1, 0)
 }
 
-func (m *Machine) extra(now clock.Millis, r *toucanhingev1.Runner, load Load) float64 {
-	held := load.Online + load.Batch + load.Foreign
-	cost := fullCost * float64(held) / float64(r.GetSlots())
-	if held >= int(r.GetSlots()) {
-		cost += yieldCost
-	}
+// fixed is what a runner costs whatever it has under way.
+func (m *Machine) fixed(now clock.Millis, r *toucanhingev1.Runner, load Load) float64 {
+	cost := 0.0
 	if r.GetDataCentre() != m.config.DataCentre {
 		cost += farCost
 	}
-	if m.doubted[r.GetId()] > now || load.Silent {
+	if load.Silent || len(m.doubted) > 0 && m.doubted[r.GetId()] > now {
 		cost += doubtCost
 	}
 	return cost
 }
 
+// crowd is what the work under way at a runner costs.
+func crowd(r *toucanhingev1.Runner, load Load) float64 {
+	held := load.Online + load.Batch + load.Foreign
+	cost := fullCost * float64(held) / float64(r.GetSlots())
+	if held >= int(r.GetSlots()) {
+		cost += yieldCost
+	}
+	return cost
+}
+
 // Places counts the places of a service at runners that take work.
 func (m *Machine) Places(now clock.Millis, service string) int {
 	places := 0
