Let VMs of the core rest that do nothing, and read the directory as often as its bound asks

Causes, both seen at 314 gateways: 85 VMs of control announced themselves to the leader 2.5 times a second each, 212 of some 1,000 calls that it answers; six of them are members.

The list is read six times within the bound by which a leaving runner gets no more requests, every 0.5 to 1 s: 0.5 s where that is 3 s as before, 0.83 s where it is 5 s.

Ruled out, with a trial: a fixed number of VMs of control a data centre (count = 3 in the deploy file).

--- a/control/pkg/core/attend.go
+++ b/control/pkg/core/attend.go
@@ -74,10 +74,12 @@
 // back; nil if it is answered here. Then it counts as attending.
 func (c *Core) turnAway(m *toucanhingev1.AttendRequest) *toucanhingev1.AttendResponse {
 	now := c.config.Clock.Now()
-	self := gateway{address: m.GetDigestAddress(), dataCentre: m.GetDataCentre(), heard: now}
+	self := gateway{address: m.GetDigestAddress(), dataCentre: m.GetDataCentre(), heard: now, holds: m.GetHaveFleet() != 0}
 	c.fleet.attend(m.GetName(), self)
 	for _, p := range m.GetPassed() {
-		c.fleet.attend(p.GetName(), gateway{address: p.GetAddress(), dataCentre: m.GetDataCentre(), heard: now - clock.Millis(p.GetAgeMs())})
+		c.fleet.attend(p.GetName(), gateway{
+			address: p.GetAddress(), dataCentre: m.GetDataCentre(), heard: now - clock.Millis(p.GetAgeMs()), holds: p.GetHolds(),
+		})
 	}
 	if !m.GetInsists() {
 		if m.GetHasParents() && c.fleet.gathers(now) {
--- a/control/pkg/core/core.go
+++ b/control/pkg/core/core.go
@@ -65,6 +65,9 @@
 	Founders []string
 	// Losses is how many VMs may be lost at the same time.
 	Losses int
+	// LeaveBound is how long after the directory shows that a runner leaves requests may still be
+	// sent there, a span; 0 if that isn't told.
+	LeaveBound clock.Millis
 
 	Clock      clock.Clock
 	Logger     log.Logger
@@ -102,6 +105,10 @@
 	metrics  *metrics
 	// attending counts the gateways whose calls for news wait here.
 	attending atomic.Int64
+	// announcedAt is when this VM announced itself last, Unix time in milliseconds, and asked has
+	// room for one: someone wants to know who leads.
+	announcedAt atomic.Int64
+	asked       chan struct{}
 
 	identity string
 	cancel   context.CancelFunc
@@ -114,7 +121,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("data folder: %w", err)
 	}
-	c := &Core{config: config, identity: identity, fleet: newFleet(), tables: signal.New(), results: newTopics(), metrics: newMetrics(config.Registerer)}
+	c := &Core{config: config, identity: identity, fleet: newFleet(), tables: signal.New(), results: newTopics(), asked: make(chan struct{}, 1), metrics: newMetrics(config.Registerer)}
 	c.confirms = newConfirms(func(ctx context.Context) error { return c.group.Read(ctx) })
 	c.acquaintances = recall(filepath.Join(config.Folder, "acquaintances"), config.Logger)
 	config.Core.SetAddresses(c.acquaintances.withSeeds(config.Seeds()))
--- a/control/pkg/core/fleet.go
+++ b/control/pkg/core/fleet.go
@@ -22,6 +22,13 @@
 	presenceExpiry clock.Millis = 4_000
 	// referFresh is how long after it was heard last a gateway is named to others.
 	referFresh clock.Millis = 2_000
+	// mostReserve is the number of VMs that are no members and announce themselves all the time:
+	// twice the members that two losses ask for. Others rest for a while after each word.
+	mostReserve = 12
+	// reserveFresh is how long such a VM counts after it announced itself.
+	reserveFresh clock.Millis = 1_500
+	// restTime is how long a VM rests: less than the silence after which it counts as gone.
+	restTime clock.Millis = 2_000
 )
 
 // fleet is what the leader knows of the running daemons and runners. It is not
@@ -52,12 +59,16 @@
 	address    string
 	dataCentre string
 	heard      clock.Millis
+	// holds says that it holds a fleet, so that others can hear from it.
+	holds bool
 }
 
 type announced struct {
 	name     string
 	identity string
 	heard    clock.Millis
+	// resting says that it was told to rest.
+	resting bool
 }
 
 func newFleet() *fleet {
@@ -152,13 +163,13 @@
 	if f.tree.Empty() {
 		return nil
 	}
-	fresh := map[string]bool{}
+	useful := map[string]bool{}
 	for _, other := range f.gateways {
-		fresh[other.address] = now-other.heard <= referFresh
+		useful[other.address] = other.holds && now-other.heard <= referFresh
 	}
 	var named []string
 	for _, address := range f.tree.Parents(fanout.Gateway{Address: g.address, DataCentre: g.dataCentre}) {
-		if fresh[address] {
+		if useful[address] {
 			named = append(named, address)
 		}
 	}
@@ -212,10 +223,25 @@
 	}
 }
 
-func (f *fleet) announce(now clock.Millis, name, address, identity string) {
+// announce notes a VM of the core, and says whether it may rest: on a site with a hundred of them
+// all those that do nothing would keep the leader busy.
+func (f *fleet) announce(now clock.Millis, name, address, identity string) (rests bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.vms[address] = announced{name: name, identity: identity, heard: now}
+	rests = !slices.Contains(f.cores, address) && f.reserve(now, address) >= mostReserve
+	f.vms[address] = announced{name: name, identity: identity, heard: now, resting: rests}
+	return rests
+}
+
+// reserve counts the other VMs that stand by and are no members; the caller holds the lock.
+func (f *fleet) reserve(now clock.Millis, self string) int {
+	count := 0
+	for address, v := range f.vms {
+		if address != self && !v.resting && now-v.heard <= reserveFresh && !slices.Contains(f.cores, address) {
+			count++
+		}
+	}
+	return count
 }
 
 func (f *fleet) announced() map[string]announced {
--- a/control/pkg/core/lead.go
+++ b/control/pkg/core/lead.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"toucanhinge.example/common/pkg/clock"
-	"toucanhinge.example/common/pkg/control"
 	"toucanhinge.example/common/pkg/logs"
 	"toucanhinge.example/control/pkg/repair"
 	"toucanhinge.example/control/pkg/replica"
@@ -18,20 +16,11 @@
 
 const (
 	leadTick = 50 * time.Millisecond
-	// directoryEvery is the interval between two readings of the directory. It
-	// lags by most of a second anyway; a drain must be known within three.
-	directoryEvery = 500 * time.Millisecond
-	directoryTime  = time.Second
 	// gatheringTime is how long a new leader waits before it takes it that all gateways tell it
 	// what they do.
 	gatheringTime clock.Millis = 1_000
 	repairEvery                = 100 * time.Millisecond
 	repairTime                 = 2 * time.Second
-	announceEvery              = 400 * time.Millisecond
-	// announceTime ends one try to tell the leader. A VM that lost its disk knows
-	// the seeds only, and some of these may be gone: with a longer try it was taken
-	// in again a second later.
-	announceTime = 250 * time.Millisecond
 	// silentAfter is the silence after which a VM of the core is replaced if
 	// another one stands ready. A killed process is back within two seconds.
 	silentAfter clock.Millis = 3_000
@@ -99,49 +88,6 @@
 	}
 }
 
-// readDirectory follows the platform's list of runners. Its calls are limited
-// for all daemons together, so only the leader reads it.
-func (c *Core) readDirectory(ctx context.Context) {
-	ticker := time.NewTicker(directoryEvery)
-	defer ticker.Stop()
-	for {
-		c.readOnce(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (c *Core) readOnce(ctx context.Context) {
-	readCtx, cancel := context.WithTimeout(ctx, directoryTime)
-	defer cancel()
-	runners, err := c.config.Directory(readCtx)
-	if err != nil {
-		c.metrics.directory.WithLabelValues("failed").Inc()
-		if ctx.Err() == nil {
-			level.Warn(c.config.Logger).Log(logs.KeyEvent, "directory-unread", logs.KeyError, err)
-		}
-		return
-	}
-	c.metrics.directory.WithLabelValues("read").Inc()
-	c.config.Exchange.SetRunners(len(runners))
-	if ids := c.fleet.restarted(runners); len(ids) > 0 {
-		level.Info(c.config.Logger).Log(logs.KeyEvent, "runners-restarted", "runners", strings.Join(ids, " "))
-	}
-	if c.fleet.setRunners(runners) {
-		leaving := 0
-		for _, r := range runners {
-			if r.GetLeaving() {
-				leaving++
-			}
-		}
-		level.Info(c.config.Logger).Log(logs.KeyEvent, "runners-changed", "runners", len(runners), "leaving", leaving)
-		c.driver.Wake()
-	}
-}
-
 // repair keeps the group's membership as package repair decides.
 func (c *Core) repair(ctx context.Context) {
 	ticker := time.NewTicker(repairEvery)
@@ -257,36 +203,3 @@
 		level.Warn(c.config.Logger).Log(logs.KeyEvent, "vms-unregistered", logs.KeyError, err)
 	}
 }
-
-// announce tells the leader, again and again, that this VM is there and with
-// which data folder. So a VM that lost its disk, or is new, becomes a member.
-func (c *Core) announce(ctx context.Context) {
-	ticker := time.NewTicker(announceEvery)
-	defer ticker.Stop()
-	for {
-		c.announceOnce(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (c *Core) announceOnce(ctx context.Context) {
-	if _, _, self := c.group.Leader(); self {
-		c.fleet.announce(c.config.Clock.Now(), c.config.Name, c.config.Address, c.identity)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, 4*announceTime)
-	defer cancel()
-	answer, err := control.Call(ctx, c.config.Core, Group, "announce", c.tellLeader)
-	if err != nil {
-		level.Debug(c.config.Logger).Log(logs.KeyEvent, "announce-failed", logs.KeyError, err)
-		// The VMs that we know may all be gone, and the settings name others by now.
-		c.config.Core.SetAddresses(c.acquaintances.withSeeds(c.config.Seeds()))
-		return
-	}
-	c.config.Core.SetAddresses(answer.GetCoreAddresses())
-	c.acquaintances.keep(answer.GetCoreAddresses())
-}
--- a/control/pkg/core/service.go
+++ b/control/pkg/core/service.go
@@ -30,20 +30,11 @@
 	if err := c.leads(); err != nil {
 		return nil, err
 	}
-	c.fleet.announce(c.config.Clock.Now(), r.Msg.GetName(), r.Msg.GetAddress(), r.Msg.GetIdentity())
-	return connect.NewResponse(&toucanhingev1.AnnounceResponse{CoreAddresses: c.Addresses()}), nil
-}
-
-func (c *Core) tellLeader(ctx context.Context, leader *control.Replica) (*toucanhingev1.AnnounceResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, announceTime)
-	defer cancel()
-	answer, err := leader.Core.Announce(ctx, connect.NewRequest(&toucanhingev1.AnnounceRequest{
-		Name: c.config.Name, Address: c.config.Address, Identity: c.identity,
-	}))
-	if err != nil {
-		return nil, err
+	answer := &toucanhingev1.AnnounceResponse{CoreAddresses: c.Addresses()}
+	if c.fleet.announce(c.config.Clock.Now(), r.Msg.GetName(), r.Msg.GetAddress(), r.Msg.GetIdentity()) {
+		answer.AgainMs = uint32(restTime)
 	}
-	return answer.Msg, nil
+	return connect.NewResponse(answer), nil
 }
 
 // Addresses of the group's members.
@@ -207,6 +198,7 @@
 func (c *Core) NameLeader(
 	context.Context, *connect.Request[toucanhingev1.NameLeaderRequest],
 ) (*connect.Response[toucanhingev1.NameLeaderResponse], error) {
+	c.look()
 	return connect.NewResponse(&toucanhingev1.NameLeaderResponse{Address: c.Leader()}), nil
 }
 
--- a/gateway/pkg/news/attendances.go
+++ b/gateway/pkg/news/attendances.go
@@ -21,18 +21,20 @@
 	heard   clock.Millis
 	// passed is when it was passed on last, 0 if it wasn't.
 	passed clock.Millis
+	// holds says that it holds a fleet.
+	holds bool
 }
 
 // note takes up that a gateway was heard at a moment.
-func (a *attendances) note(name, address string, heard clock.Millis) {
+func (a *attendances) note(name, address string, heard clock.Millis, holds bool) {
 	if a.byName == nil {
 		a.byName = map[string]attendance{}
 	}
 	before := a.byName[name]
-	if before.address != address {
+	if before.address != address || before.holds != holds {
 		before.passed = 0
 	}
-	a.byName[name] = attendance{address: address, heard: max(before.heard, heard), passed: before.passed}
+	a.byName[name] = attendance{address: address, heard: max(before.heard, heard), passed: before.passed, holds: holds}
 }
 
 // pass lists whom to tell of now; all if whoever hears it may know of none.
@@ -48,7 +50,7 @@
 		}
 		g.passed = now
 		a.byName[name] = g
-		list = append(list, &toucanhingev1.Attendance{Name: name, Address: g.address, AgeMs: uint32(max(now-g.heard, 0))})
+		list = append(list, &toucanhingev1.Attendance{Name: name, Address: g.address, AgeMs: uint32(max(now-g.heard, 0)), Holds: g.holds})
 	}
 	return list
 }
--- a/gateway/pkg/news/board.go
+++ b/gateway/pkg/news/board.go
@@ -108,9 +108,9 @@
 func (b *Board) note(arrived clock.Millis, m *toucanhingev1.AttendRequest) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.attendances.note(m.GetName(), m.GetDigestAddress(), arrived)
+	b.attendances.note(m.GetName(), m.GetDigestAddress(), arrived, m.GetHaveFleet() != 0)
 	for _, passed := range m.GetPassed() {
-		b.attendances.note(passed.GetName(), passed.GetAddress(), arrived-clock.Millis(passed.GetAgeMs()))
+		b.attendances.note(passed.GetName(), passed.GetAddress(), arrived-clock.Millis(passed.GetAgeMs()), passed.GetHolds())
 	}
 }
 
