Give each test process its own loopback host, and tell what a late gateway knows

A restarted gateway of the lab's fleet listens at its previous address.

Await named one late gateway and nothing of what it knew, so a machine without processor time, a lost leader and a view that lacks daemons looked the same. It now shows the table, the view and the last log lines of three gateways, and a failed test shows those of the VMs of the core.

--- a/lab/pkg/process/ports.go
+++ b/lab/pkg/process/ports.go
@@ -14,24 +14,37 @@
 const (
 	firstPort = 20000
 	portCount = 12000
-	// portStride spreads the first ports of concurrent test processes over the range by process id.
-	portStride = 97
+)
+
+// The hosts follow those of package loopback.
+const (
+	firstNet = 216
+	nets     = 40
+	subnets  = 256
+	hosts    = 254
 )
 
 var errNoFreePort = errors.New("no free port")
 
 var (
 	portMu   sync.Mutex
-	nextPort = firstPort + os.Getpid()*portStride%portCount
+	nextPort = firstPort
+	host     = hostOf(os.Getpid())
 )
 
+// hostOf returns the loopback address of a process. Each process has its own: the address of a
+// program that is stopped to be restarted can't be taken by another test process meanwhile.
+func hostOf(pid int) string {
+	return fmt.Sprintf("127.%d.%d.%d", firstNet+pid%nets, pid/nets%subnets, 1+pid/nets/subnets%hosts)
+}
+
 // FreeAddress returns a free loopback address. It returns each address only once
 // until the port range wraps around.
 func FreeAddress() (string, error) {
 	portMu.Lock()
 	defer portMu.Unlock()
 	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		address := fmt.Sprintf("%s:%d", host, nextPort)
 		nextPort++
 		if nextPort >= firstPort+portCount {
 			nextPort = firstPort
--- a/lab/pkg/process/process_test.go
+++ b/lab/pkg/process/process_test.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"net"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -58,3 +59,15 @@
 	require.NoError(t, err)
 	require.NotEqual(t, first, second)
 }
+
+// Two test processes used the same range of ports: one could take the address of a gateway that
+// the other had stopped to restart it.
+func TestProcessesHaveDifferentHosts(t *testing.T) {
+	owners := map[string]int{}
+	for pid := 1; pid < nets*subnets*hosts; pid += 251 {
+		other, known := owners[hostOf(pid)]
+		require.False(t, known, "process %d and %d", pid, other)
+		owners[hostOf(pid)] = pid
+		require.True(t, net.ParseIP(hostOf(pid)).IsLoopback())
+	}
+}
--- a/lab/pkg/updatefleet/fleet.go
+++ b/lab/pkg/updatefleet/fleet.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -140,29 +141,51 @@
 	return 0, fmt.Errorf("replace the table: %w", ctx.Err())
 }
 
+// Describe returns the state of the VMs of the core, for the message of a failed test.
+func (f *Fleet) Describe() string {
+	var descriptions []string
+	for _, v := range f.VMs {
+		descriptions = append(descriptions, v.describe())
+	}
+	return strings.Join(descriptions, "\n")
+}
+
 // Await waits until a condition holds at all given gateways and returns how long that took.
 func Await(gateways []*Gateway, timeout time.Duration, holds func(*Gateway) bool) (time.Duration, error) {
 	startedAt := time.Now()
 	for {
-		missing := 0
-		last := ""
+		var missing []*Gateway
 		for _, g := range gateways {
 			if !holds(g) {
-				missing++
-				last = g.name
+				missing = append(missing, g)
 			}
 		}
 		elapsed := time.Since(startedAt)
-		if missing == 0 {
+		if len(missing) == 0 {
 			return elapsed, nil
 		}
 		if elapsed > timeout {
-			return elapsed, fmt.Errorf("%w: %d of %d gateways, among them %s, after %s", ErrTimeout, missing, len(gateways), last, timeout)
+			return elapsed, fmt.Errorf("%w: %d of %d gateways after %s; %s", ErrTimeout, len(missing), len(gateways), timeout, describe(missing))
 		}
 		time.Sleep(pollInterval)
 	}
 }
 
+// maxDescribed is the number of gateways that an error describes.
+const maxDescribed = 3
+
+// describe returns what some gateways know, and the names of all.
+func describe(gateways []*Gateway) string {
+	var names, descriptions []string
+	for n, g := range gateways {
+		names = append(names, g.name)
+		if n < maxDescribed {
+			descriptions = append(descriptions, g.describe())
+		}
+	}
+	return strings.Join(names, ", ") + "\n" + strings.Join(descriptions, "\n")
+}
+
 // SubscribeCalls returns the number of subscribe calls at the VMs of the core, by outcome.
 func (f *Fleet) SubscribeCalls() map[string]float64 {
 	counts := map[string]float64{}
--- a/lab/pkg/updatefleet/fleet_test.go
+++ b/lab/pkg/updatefleet/fleet_test.go
@@ -26,7 +26,12 @@
 	t.Helper()
 	f, err := Start(Config{Folder: t.TempDir(), Gateways: gatewayCount, DataCentres: dataCentreCount, Runners: runnerCount})
 	require.NoError(t, err)
-	t.Cleanup(f.Stop)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(f.Describe())
+		}
+		f.Stop()
+	})
 	version := replaceTable(t, f)
 	_, err = Await(f.Gateways, testTimeout, func(g *Gateway) bool { return g.Version() == version && g.Daemons() == gatewayCount+1 })
 	require.NoError(t, err)
--- a/lab/pkg/updatefleet/gateway.go
+++ b/lab/pkg/updatefleet/gateway.go
@@ -15,6 +15,7 @@
 	"toucanhinge.example/common/pkg/web"
 	"toucanhinge.example/gateway/pkg/core"
 	"toucanhinge.example/gateway/pkg/updates"
+	"toucanhinge.example/lab/pkg/process"
 	"toucanhinge.example/lab/pkg/relay"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 	"toucanhinge.example/schema/gen/toucanhinge/v1/toucanhingev1connect"
@@ -29,6 +30,7 @@
 
 	table atomic.Pointer[routing.Table]
 	fleet atomic.Pointer[toucanhingev1.FleetView]
+	lines recentLines
 
 	mu               sync.Mutex
 	running          bool
@@ -62,6 +64,12 @@
 // Daemons returns the number of daemons in the gateway's fleet view that receive load digests.
 func (g *Gateway) Daemons() int { return len(g.fleet.Load().GetDigestPeers()) }
 
+// describe returns what the gateway knows and its last log lines.
+func (g *Gateway) describe() string {
+	return fmt.Sprintf("%s at %s: table %d, fleet view %d with %d runners and %d daemons; last log lines:\n%s",
+		g.name, g.Address(), g.Version(), g.fleet.Load().GetRevision(), g.Runners(), g.Daemons(), g.lines.String())
+}
+
 // Start starts the gateway without any state. A restarted gateway listens at its previous address.
 func (g *Gateway) Start() error {
 	g.mu.Lock()
@@ -73,7 +81,9 @@
 	}
 	listen := g.address
 	if listen == "" {
-		listen = "127.0.0.1:0"
+		if listen, err = process.FreeAddress(); err != nil {
+			return fmt.Errorf("find an address for the gateway: %w", err)
+		}
 	}
 	if g.link, err = relay.New(relay.Config{Listen: listen, Target: server.Address()}); err != nil {
 		return fmt.Errorf("start relay to the gateway: %w", err)
@@ -86,7 +96,7 @@
 	})
 	mux.Handle(toucanhingev1connect.NewNewsServiceHandler(publisher))
 	subscriber := core.New(core.Config{
-		Name: g.name, DigestAddress: g.address, DataCentre: g.dataCentre, Core: newClient(g.coreAddresses), Logger: log.NewNopLogger(), Publisher: publisher,
+		Name: g.name, DigestAddress: g.address, DataCentre: g.dataCentre, Core: newClient(g.coreAddresses), Logger: log.NewLogfmtLogger(&g.lines), Publisher: publisher,
 		OnTable: func(t *routing.Table) { g.table.Store(t) }, OnFleet: func(v *toucanhingev1.FleetView) { g.fleet.Store(v) },
 		OnUsage: func([]*toucanhingev1.TeamUse, clock.Millis) {}, Boot: clock.Boot(), OnFreshness: func(clock.Millis) {},
 		Seeds: func() []string { return g.coreAddresses },
--- a/lab/pkg/updatefleet/vm.go
+++ b/lab/pkg/updatefleet/vm.go
@@ -33,6 +33,8 @@
 	foundingMembers []string
 	runners         func() []*toucanhingev1.Runner
 
+	lines recentLines
+
 	mu       sync.Mutex
 	running  bool
 	core     *core.Core
@@ -59,7 +61,7 @@
 	v.registry = prometheus.NewRegistry()
 	v.core, err = core.Open(core.Config{
 		Name: v.name, Address: v.address, DataCentre: dataCentreName(0), Folder: v.folder, FoundingMembers: v.foundingMembers, ToleratedLosses: 1,
-		Clock: clock.System(), Boot: clock.Boot(), Logger: log.NewNopLogger(), Registerer: v.registry, Exchange: x,
+		Clock: clock.System(), Boot: clock.Boot(), Logger: log.NewLogfmtLogger(&v.lines), Registerer: v.registry, Exchange: x,
 		Runners:   runner.Client{Open: func(context.Context, runner.Call) (*runner.Answer, error) { return nil, errNoRunner }},
 		Directory: func(context.Context) ([]*toucanhingev1.Runner, error) { return v.runners(), nil },
 		Core:      newClient(v.addresses), Seeds: func() []string { return v.addresses },
@@ -123,6 +125,13 @@
 	return v.running && v.core.Leader() == v.address
 }
 
+// describe returns the VM's role, its subscribe calls by outcome and its last log lines.
+func (v *VM) describe() string {
+	calls := map[string]float64{}
+	v.addSubscribeCalls(calls)
+	return fmt.Sprintf("%s: leads %t, subscribe calls %v; last log lines:\n%s", v.name, v.Leads(), calls, v.lines.String())
+}
+
 func (v *VM) replaceTable(ctx context.Context, table *toucanhingev1.RoutingTable) error {
 	v.mu.Lock()
 	vm, running := v.core, v.running
