Accept late answers in the search for the leader

Callers saw 503 from gateways that had restarted while the leader was slow: the gateway never found it ("no control VM names a leader"), although it answered.

Cause: a search queries the control VMs, waits 200 ms, and cancelled its queries then. Answers that took longer were never used, and the VMs counted as unresponsive, so that the next search refused them as leader. The probe of a late VM used up to 600 ms, and dropped the leader's name from its answer. So with answers between 200 and 600 ms no search could end, and each added queries to a VM that was slow.

Now a query lives for 600 ms whatever its search does, its answer counts when it arrives, and at most three run for one VM. A query that fails only counts against its VM if the VM answered nothing since the query began.

--- a/common/pkg/control/client.go
+++ b/common/pkg/control/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"toucanhinge.example/common/pkg/signal"
 	"toucanhinge.example/schema/gen/toucanhinge/v1/toucanhingev1connect"
 )
 
@@ -31,9 +32,6 @@
 	// it as well name it until they have elected another leader, within 0.6 s. A longer period
 	// would keep gateways from a leader that is back after a power failure.
 	unresponsivePeriod = 700 * time.Millisecond
-	// probeTimeout is the time limit of the probe of a control VM that didn't answer in time. It is
-	// shorter than unresponsivePeriod.
-	probeTimeout = 600 * time.Millisecond
 )
 
 // Values of the reason label of the retry metric.
@@ -53,8 +51,10 @@
 	Core      toucanhingev1connect.CoreServiceClient
 
 	http *http.Client
-	// probing is set while a probe of its connection runs.
-	probing atomic.Bool
+	// queries is the number of running queries of this VM for the leader.
+	queries atomic.Int32
+	// answeredAt is when the VM last answered; the client's lock protects it.
+	answeredAt time.Time
 }
 
 // Config configures a Client.
@@ -84,6 +84,8 @@
 	leaders           map[uint32]string
 	unresponsiveSince map[string]time.Time
 	nextIndex         int
+	// leaderFound fires when a query found a leader.
+	leaderFound *signal.Signal
 }
 
 // New returns a client, which connects on first use.
@@ -91,7 +93,7 @@
 	if config.AttemptTimeout == 0 {
 		config.AttemptTimeout = attemptTimeout
 	}
-	return &Client{config: config, replicas: map[string]*Replica{}, leaders: map[uint32]string{}, unresponsiveSince: map[string]time.Time{}}
+	return &Client{config: config, replicas: map[string]*Replica{}, leaders: map[uint32]string{}, unresponsiveSince: map[string]time.Time{}, leaderFound: signal.New()}
 }
 
 // Replica returns the service clients of one control VM.
@@ -200,6 +202,7 @@
 func (c *Client) markResponsive(r *Replica) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.answeredAt = time.Now()
 	delete(c.unresponsiveSince, r.Address)
 }
 
@@ -211,33 +214,29 @@
 	c.dropConnections(r)
 }
 
-// deprioritize records that a control VM didn't answer in time. The VM may be gone, its connection
-// may be dead, or the VM is slow. A VM that still answers a probe keeps its connection: if
-// hundreds of callers replaced their connections because a leader was slow for a second, they
-// would use up all file descriptors and memory of the leader.
-func (c *Client) deprioritize(r *Replica) {
-	if c.config.FindLeader == nil || c.config.NewHTTP == nil {
-		c.markUnresponsive(r)
-		return
-	}
+// deprioritize records that a control VM hasn't answered in time, and reports whether it hasn't
+// answered any call since the given time.
+func (c *Client) deprioritize(r *Replica, since time.Time) bool {
 	c.mu.Lock()
-	c.unresponsiveSince[r.Address] = time.Now()
-	c.mu.Unlock()
-	if r.probing.CompareAndSwap(false, true) {
-		go c.probe(r)
+	defer c.mu.Unlock()
+	if r.answeredAt.After(since) {
+		return false
 	}
+	c.unresponsiveSince[r.Address] = time.Now()
+	return true
 }
 
-// probe drops the connections to a control VM that doesn't answer a small call either.
-func (c *Client) probe(r *Replica) {
-	defer r.probing.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	if _, err := c.config.FindLeader(ctx, r); err != nil {
-		c.dropConnections(r)
+// handleLateAnswer deprioritizes a control VM that didn't answer a call in time. The VM may be gone,
+// its connection may be dead, or the VM is slow. A VM that still answers a query keeps its connection:
+// if hundreds of callers replaced their connections because a leader was slow for a second, they
+// would use up all file descriptors and memory of the leader.
+func (c *Client) handleLateAnswer(group uint32, r *Replica) {
+	if c.config.FindLeader == nil || c.config.NewHTTP == nil {
+		c.markUnresponsive(r)
 		return
 	}
-	c.markResponsive(r)
+	c.deprioritize(r, time.Now())
+	go c.queryReplica(group, r)
 }
 
 // Call runs one call on the leader of the group, and searches for the leader until the context
@@ -265,7 +264,7 @@
 		reason, retry := c.classifyError(group, err)
 		switch reason {
 		case reasonLate:
-			c.deprioritize(replica)
+			c.handleLateAnswer(group, replica)
 		case reasonUnreachable:
 			c.markUnresponsive(replica)
 		case reasonNotLeader:
--- a/common/pkg/control/find_leader.go
+++ b/common/pkg/control/find_leader.go
@@ -11,11 +11,15 @@
 )
 
 const (
-	// findTimeout is the time limit of the query for the leader. A control VM usually answers
-	// within a millisecond, and a VM without power never does. When the VMs were queried one after
-	// the other with the time limit of a call, two VMs without power kept gateways from their
-	// routing table for a second after the leader was elected.
+	// findTimeout is how long one search waits before it queries other control VMs. A control VM
+	// usually answers within a millisecond, and a VM without power never does.
 	findTimeout = 200 * time.Millisecond
+	// queryTimeout is the time limit of the query of one control VM. It is shorter than
+	// unresponsivePeriod.
+	queryTimeout = 600 * time.Millisecond
+	// maxQueries limits the concurrent queries of one control VM. Each search starts one, since an
+	// earlier one may be lost.
+	maxQueries = int32(queryTimeout / findTimeout)
 	// maxFindBackoff is the longest delay between two searches.
 	maxFindBackoff = 100 * time.Millisecond
 	// maxQueried limits the VMs that are queried at once. If two of four fail, two remain.
@@ -25,46 +29,75 @@
 var errNoLeader = errors.New("no control VM names a leader")
 
 // findLeader queries several control VMs at once for the leader and accepts the first answer that
-// names one. It reports whether there was such an answer.
+// names one. It reports whether the leader is known, at the latest after findTimeout. A query whose
+// answer is late goes on beyond that: if each search discarded late answers, a fleet whose leader
+// answers slowly would never find it, and would keep it slow with repeated queries.
 func (c *Client) findLeader(ctx context.Context, group uint32) bool {
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
+	found := c.leaderFound.Next()
 	addresses := c.nextAddresses()
-	leaders := make(chan string, len(addresses))
+	ended := make(chan struct{}, len(addresses))
 	for _, address := range addresses {
-		go func() { leaders <- c.queryAddress(ctx, address) }()
+		go func() {
+			if c.queryReplica(group, c.Replica(address)) {
+				ended <- struct{}{}
+			}
+		}()
 	}
+	timer := time.NewTimer(findTimeout)
+	defer timer.Stop()
 	for range addresses {
+		if c.KnownLeader(group) != "" {
+			return true
+		}
 		select {
+		case <-found:
+			found = c.leaderFound.Next()
+		case <-ended:
+		case <-timer.C:
+			return false
 		case <-ctx.Done():
 			return false
-		case leader := <-leaders:
-			c.setLeader(group, leader)
-			if c.KnownLeader(group) != "" {
-				return true
-			}
 		}
 	}
-	return false
+	return c.KnownLeader(group) != ""
 }
 
-// queryAddress queries one control VM for the leader. The result is empty if the VM doesn't know
-// the leader or doesn't answer.
-func (c *Client) queryAddress(ctx context.Context, address string) string {
-	r := c.Replica(address)
+// queryReplica queries one control VM for the leader and applies its answer, unless maxQueries of them
+// run already. It reports whether it ran the query.
+func (c *Client) queryReplica(group uint32, r *Replica) bool {
+	if r.queries.Add(1) > maxQueries {
+		r.queries.Add(-1)
+		return false
+	}
+	defer r.queries.Add(-1)
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+	defer cancel()
+	startedAt := time.Now()
+	late := time.AfterFunc(findTimeout, func() { c.deprioritize(r, startedAt) })
+	defer late.Stop()
 	leader, err := c.config.FindLeader(ctx, r)
-	switch {
-	case err == nil:
-		c.markResponsive(r)
-		return leader
-	case errors.Is(ctx.Err(), context.Canceled):
-		// Another VM has already answered.
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		c.deprioritize(r)
-	default:
-		c.markUnresponsive(r)
+	if err != nil {
+		if c.deprioritize(r, startedAt) {
+			c.dropConnections(r)
+		}
+		return true
+	}
+	c.markResponsive(r)
+	c.setFoundLeader(group, leader)
+	return true
+}
+
+// setFoundLeader records the leader that a control VM named, if none is known.
+func (c *Client) setFoundLeader(group uint32, leader string) {
+	c.mu.Lock()
+	accepted := leader != "" && c.leaders[group] == "" && !c.isUnresponsive(leader)
+	if accepted {
+		c.leaders[group] = leader
+	}
+	c.mu.Unlock()
+	if accepted {
+		c.leaderFound.Fire()
 	}
-	return ""
 }
 
 // nextAddresses returns the next addresses to query, in round-robin order.
--- a/common/pkg/control/slow_leader_test.go
+++ b/common/pkg/control/slow_leader_test.go
@@ -148,3 +148,14 @@
 	require.NoError(t, read(ctx, c))
 	require.GreaterOrEqual(t, listener.accepted.Load(), int64(2))
 }
+
+// Guards against gateways that never find a leader whose answers take longer than one search.
+func TestSlowLeaderIsFound(t *testing.T) {
+	leader, listener := startSlowLeader(t)
+	leader.delay.Store(int64(600 * time.Millisecond))
+	c := New(Config{Addresses: []string{leader.address}, NewHTTP: web.NewClient, FindLeader: QueryLeader, AttemptTimeout: time.Second})
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	require.NoError(t, read(ctx, c))
+	require.EqualValues(t, 1, listener.accepted.Load())
+}
