Elect a leader while all disks of the core are slow

Cause: votes and terms are synced before they are sent, and a candidate waited only an election timeout (0.4 to 0.8 s) for them, then dropped its candidacy. The others campaigned while its term was still being synced, each having voted for itself. A leader that won nevertheless stepped down after 1.6 s since its own disk was late, although no other disk was faster.

Evidence: TestLeaderIsElectedWithSlowDisks replays it in virtual time with disks that run one sync at a time. Ruled out: lost messages and clocks, which are faultless there.

Now an election is given four times the last sync, and a replica with a pending sync starts none. The leader steps down if its disk is much slower than the others'.

--- a/control/pkg/consensus/election.go
+++ b/control/pkg/consensus/election.go
@@ -23,6 +23,7 @@
 // into an election.
 func (m *Machine) startPreVote() {
 	m.resetElection()
+	m.deferred = false
 	self, ok := m.self()
 	if !ok || !self.Voter {
 		return
@@ -59,12 +60,24 @@
 }
 
 func (m *Machine) onPreVote(msg Message) {
-	granted := msg.Term > m.state.Term && !m.hasLiveLeader() && m.upToDate(msg)
-	response := Message{Kind: KindPreVoteResponse, Reject: !granted}
-	if granted {
-		response.Term = msg.Term
+	from := Member{Name: msg.From, Identity: msg.FromIdentity}
+	if msg.Term <= m.state.Term || m.hasLiveLeader() || !m.upToDate(msg) {
+		// The other replica enters the term of a rejection, so the term must be durable: a
+		// candidate with a slow disk would otherwise interrupt the elections of the others.
+		m.sendAfterSync(from, Message{Kind: KindPreVoteResponse, Reject: true})
+		return
+	}
+	m.deferElection()
+	m.send(from, Message{Kind: KindPreVoteResponse, Term: msg.Term})
+}
+
+// deferElection lets the replica that received a pre-vote campaign alone for the time that syncs take. Its vote
+// requests wait for a sync of its disk; a second candidate in that time would split the votes. A replica defers its
+// election only once: if no leader results, the other replica may be unable to receive responses.
+func (m *Machine) deferElection() {
+	if !m.deferred {
+		m.deferred, m.electionInProgress = true, true
 	}
-	m.sendAfterSync(Member{Name: msg.From, Identity: msg.FromIdentity}, response)
 }
 
 // onVote grants at most one vote per term, to a candidate whose log is at least as
@@ -103,7 +116,7 @@
 		// would leave the group without a leader for another half second. If the candidate
 		// wins despite this rejection, the shorter deadline does no harm: a leader sends no
 		// vote requests.
-		m.electionDeadline = min(m.electionDeadline, m.now+m.config.Jitter(m.config.ElectionTimeout/retryDivisor))
+		m.electionDeadline = min(m.electionDeadline, m.now+m.config.Jitter(m.config.ElectionTimeout/retryDivisor+m.electionSyncTime()))
 		return
 	}
 	if msg.Kind != expected || msg.Reject || msg.Term != term || m.votes == nil {
--- a/control/pkg/consensus/leader.go
+++ b/control/pkg/consensus/leader.go
@@ -14,9 +14,13 @@
 	readRound        uint64
 	reads            []pendingRead
 	transfer         leadershipTransfer
+	// othersSyncTime is how long a majority of the other members took to sync entries that this
+	// replica hasn't synced yet, 0 if there are none.
+	othersSyncTime clock.Millis
 }
 
-// maxSyncTimeouts is the longest time that a sync may take, in election timeouts.
+// maxSyncTimeouts is the longest time that a sync may take, in election timeouts, beyond a multiple
+// of the time that the other members take.
 const maxSyncTimeouts = 4
 
 type progressState int
@@ -130,12 +134,28 @@
 	}
 }
 
-// diskStalled reports whether a sync of this replica's disk has been pending for several
-// election timeouts. A leader delivers no entry that it hasn't synced, so its callers
-// would wait for this disk while the other members have a majority of working disks. The
-// replica can't win the next election either: its pre-vote requests wait for the disk.
+// diskStalled reports whether a sync of this replica's disk takes several election timeouts
+// longer than those of a majority of the other members. A leader delivers no entry that it
+// hasn't synced, so its callers would wait for this disk. The replica can't win the next
+// election either: its pre-vote requests wait for the disk. If the disks of the others are
+// as slow, no other replica would be a better leader.
 func (m *Machine) diskStalled() bool {
-	return len(m.pending) > 0 && m.now-m.pending[0].since > maxSyncTimeouts*m.config.ElectionTimeout
+	othersTime := m.leaderState.othersSyncTime
+	if othersTime == 0 || len(m.pending) == 0 {
+		return false
+	}
+	return m.now-m.pending[0].since > maxSyncTimeouts*m.config.ElectionTimeout+electionSyncs*othersTime
+}
+
+// recordOthersSync records how long the other members took if they have synced entries that this
+// replica hasn't.
+func (m *Machine) recordOthersSync() {
+	switch {
+	case m.commit <= m.synced || len(m.pending) == 0:
+		m.leaderState.othersSyncTime = 0
+	case m.leaderState.othersSyncTime == 0:
+		m.leaderState.othersSyncTime = max(m.now-m.pending[0].since, 1)
+	}
 }
 
 // hasQuorumContact reports whether a majority, including the leader, was last seen within
@@ -316,6 +336,7 @@
 // only as far as it is synced, and only entries of the current term count: an entry of an
 // earlier term on a majority can still be replaced.
 func (m *Machine) advanceCommit() {
+	defer m.recordOthersSync()
 	var matches []uint64
 	for _, member := range m.members() {
 		if !member.Voter {
--- a/control/pkg/consensus/machine.go
+++ b/control/pkg/consensus/machine.go
@@ -44,9 +44,18 @@
 	electionDeadline  clock.Millis
 	lastLeaderContact clock.Millis
 	leaderTimeout     leaderTimeout
-	lastTick          clock.Millis
-	votes             map[string]bool
-	forced            bool
+	// syncTime is how long the last sync of this replica's disk took.
+	syncTime clock.Millis
+	// electionInProgress is set if this replica waits for the end of an election.
+	electionInProgress bool
+	// measurement is the sequence of the last Persist that only measured the disk.
+	measurement uint64
+	// deferred is set if this replica postponed its own election for another replica since it last
+	// requested pre-votes.
+	deferred bool
+	lastTick clock.Millis
+	votes    map[string]bool
+	forced   bool
 
 	leaderState leaderState
 	out         Actions
@@ -143,13 +152,16 @@
 		m.tickLeader()
 		return
 	}
-	if m.now >= m.electionDeadline {
+	if m.electionDue() {
 		m.startPreVote()
+		return
 	}
+	m.measureDisk()
 }
 
 func (m *Machine) resetElection() {
 	m.electionDeadline = m.now + m.leaderTimeout.value() + m.config.Jitter(m.config.ElectionTimeout)
+	m.electionInProgress = false
 }
 
 // persist returns the Persist of this step with the current hard state. Messages sent
@@ -215,6 +227,7 @@
 		m.syncedTerm = max(m.syncedTerm, p.term)
 		m.out.Messages = append(m.out.Messages, p.messages...)
 	}
+	m.recordSyncs(m.pending[:done])
 	m.pending = append([]pendingPersist(nil), m.pending[done:]...)
 	switch m.role {
 	case RoleCandidate:
--- a/control/pkg/consensus/sim_test.go
+++ b/control/pkg/consensus/sim_test.go
@@ -93,8 +93,15 @@
 	entries    []Entry
 	pending    []Persist
 	checkpoint simCheckpoint
+	// syncing is the number of pending Persists that the running sync covers, which ends at syncEnd.
+	syncing int
+	syncEnd clock.Millis
+	// slowDisk lets each sync take slowSyncTime more.
+	slowDisk bool
 }
 
+const slowSyncTime = 5_000
+
 const simStart = 1_000_000
 
 func newSim(size, spares int, choose func(n int) int) *sim {
@@ -410,3 +417,31 @@
 	s.nextID++
 	return s.nextID
 }
+
+// runWithSlowDisks is runWithoutFaults with disks that take syncTime for each sync, give or take a half.
+// A disk runs one sync at a time, which covers what was written before it started.
+func (s *sim) runWithSlowDisks(duration, syncTime clock.Millis) {
+	const tick = 10
+	for passed := clock.Millis(0); passed < duration && s.violation == ""; passed += tick {
+		for _, n := range s.nodes {
+			n.clock += tick
+			s.step(n, Tick{})
+			switch {
+			case n.syncing > 0 && n.clock >= n.syncEnd:
+				s.sync(n, n.syncing)
+				n.syncing = 0
+			case n.syncing == 0 && len(n.pending) > 0:
+				n.syncing = len(n.pending)
+				n.syncEnd = n.clock + syncTime/2 + clock.Millis(s.jitter.Int64N(int64(syncTime)))
+				if n.slowDisk {
+					n.syncEnd += slowSyncTime
+				}
+			}
+		}
+		packets := s.network
+		s.network = nil
+		for _, p := range packets {
+			s.deliverPacket(p)
+		}
+	}
+}
