Count fast runners as fast when the known counts are stale

Cause: the expected hold at a fast runner was that of the mean pace, at a slow one its own. With old counts no gateway prefers the fast runners any more, and requests were kept from queues there in which they would have started in time. And the cost of a last free slot steered requests by counts that no longer show it.

From one unseen request per runner on both rules now end. With state 5 to 50 ms old the decisions are the same as before, and the other tests of paces pass.

--- a/gateway/pkg/placement/candidates.go
+++ b/gateway/pkg/placement/candidates.go
@@ -75,8 +75,9 @@
 }
 
 // candidates returns the best candidates in order. Their number grows with the number of requests that other gateways
-// have probably placed and that no received digest contains yet. The list is valid until the next call.
-func (m *Machine) candidates(now clock.Millis, runners []*toucanhingev1.Runner, req Request, hold float64, load func(runner string) Load) []candidate {
+// have probably placed and that no received digest contains yet. The list is valid until the next call. The price tells how
+// paces influenced the order.
+func (m *Machine) candidates(now clock.Millis, runners []*toucanhingev1.Runner, req Request, hold float64, load func(runner string) Load) ([]candidate, price) {
 	loads := m.scratch.loads[:0]
 	others, all := 0, 0
 	for _, r := range runners {
@@ -132,5 +133,5 @@
 		}
 		return 1
 	})
-	return top.list
+	return top.list, price
 }
--- a/gateway/pkg/placement/candidates_test.go
+++ b/gateway/pkg/placement/candidates_test.go
@@ -52,6 +52,7 @@
 		}
 		m := newMachine(runners...)
 		req := Request{Service: "llm", TieBreak: rapid.Float64Range(0, 0.99).Draw(t, "tie"), Age: clock.Millis(rapid.IntRange(0, 400).Draw(t, "age"))}
-		require.Equal(t, sortedCandidates(m, runners, req, initialHold, loadsFrom(loads)), m.candidates(0, runners, req, initialHold, loadsFrom(loads)))
+		best, _ := m.candidates(0, runners, req, initialHold, loadsFrom(loads))
+		require.Equal(t, sortedCandidates(m, runners, req, initialHold, loadsFrom(loads)), best)
 	})
 }
--- a/gateway/pkg/placement/machine.go
+++ b/gateway/pkg/placement/machine.go
@@ -108,7 +108,8 @@
 	// unresponsive runners don't count, unless all runners are unresponsive.
 	Free int
 	// Hold is the time for which requests are expected to hold a slot of the runner, at least that at the mean
-	// pace: queues at a fast runner end sooner, but more gateways send requests there at the same time.
+	// pace unless the counts are stale: queues at a fast runner end sooner, but more gateways send requests there
+	// at the same time.
 	Hold clock.Millis
 	// RequestHold is the time for which this request is expected to hold its slot there.
 	RequestHold clock.Millis
@@ -213,7 +214,7 @@
 		return Choice{}, false
 	}
 	hold := m.MeanHold(req.Service)
-	candidates := m.candidates(now, eligible, req, hold, load)
+	candidates, price := m.candidates(now, eligible, req, hold, load)
 	selected := candidates[int(req.Draw*float64(len(candidates)))]
 	if req.Ranked {
 		others := candidates[min(req.Rank, len(candidates)-1):]
@@ -222,7 +223,7 @@
 	l := load(selected.runner.GetId())
 	return Choice{
 		Runner: selected.runner, Wait: clock.Millis(selected.wait), QueuePosition: selected.position, Free: freeSlots(eligible, load),
-		Hold: clock.Millis(hold * max(l.pace(), 1)), RequestHold: clock.Millis(m.requestHold(req) * l.pace()), Pace: l.pace(), Present: l.present(),
+		Hold: clock.Millis(hold * price.hold(l.pace())), RequestHold: clock.Millis(m.requestHold(req) * l.pace()), Pace: l.pace(), Present: l.present(),
 	}, true
 }
 
--- a/gateway/pkg/placement/price.go
+++ b/gateway/pkg/placement/price.go
@@ -17,11 +17,14 @@
 	// taken by now, and all gateways prefer the same ones.
 	queueDoubt = 2.0
 	slotDoubt  = 9.0
+	// staleUnseen is the number of unseen requests per runner from which on the counts tell nothing of the
+	// last slots of a single runner.
+	staleUnseen = 1.0
 	// maxPricedPace limits the paces that are compared.
 	maxPricedPace = 5.0
 	// lastSlotCost is the cost of the last free slot of a runner. Gateways that place requests at the same
 	// time prefer the same runners, and those that come second to the last slot have to wait there. Each
-	// further free slot makes that less probable.
+	// further free slot makes that less probable. Old counts don't show which slot is the last one.
 	lastSlotCost = 100.0
 	// itemSlotCost is added for a slot that an item must yield, since the item loses some work.
 	itemSlotCost = 10.0
@@ -83,15 +86,19 @@
 	// perPace and lastSlot are paceCost and lastSlotCost for the age of the known load, and queueWeight the
 	// influence of paces on the order of queues, from 0 to 1.
 	perPace, lastSlot, queueWeight float64
+	// stale is set if the counts tell nothing of the last slots of a single runner.
+	stale bool
 }
 
 // price returns the rule for a request among runners with the given loads. unseen is the number of requests
 // that other gateways have probably placed and that no received digest contains yet.
 func (m *Machine) price(req Request, loads []Load, unseen float64) price {
 	perRunner := unseen / float64(len(loads))
-	p := price{
-		perPace: paceCost * math.Exp(-slotDoubt*perRunner), lastSlot: lastSlotCost * min(spreadFactor*unseen, 1),
-		queueWeight: math.Exp(-queueDoubt * perRunner),
+	p := price{perPace: paceCost * math.Exp(-slotDoubt*perRunner), queueWeight: math.Exp(-queueDoubt * perRunner)}
+	if perRunner < staleUnseen {
+		p.lastSlot = lastSlotCost * min(spreadFactor*unseen, 1)
+	} else {
+		p.stale = true
 	}
 	for i := range loads {
 		p.uneven = p.uneven || loads[i].pace() != 1 || loads[i].present() != 1
@@ -115,6 +122,15 @@
 // wait returns the cost of a wait at a runner of the given pace, from the wait at the mean pace.
 func (p price) wait(wait, pace float64) float64 { return wait * (1 + (pace-1)*p.queueWeight) }
 
+// hold returns the factor of the mean hold at a runner of the given pace. A fast runner counts as faster only with stale
+// counts, by which no gateway prefers it.
+func (p price) hold(pace float64) float64 {
+	if p.stale {
+		return pace
+	}
+	return max(pace, 1)
+}
+
 // cost returns the cost of a position at a runner because of the runners' paces. It grows with the position.
 func (p price) cost(r *toucanhingev1.Runner, l Load, position int) float64 {
 	if !p.uneven {
