Keep the order of waiters over their share, whatever other gateways hold back

Callers of other teams met full runners in waves: with state 50 ms old, 80 waiters of a flooding team started within 50 ms on some 40 free slots, up to ten at one runner.

Cause: a waiter at another gateway that could have started for 200 ms and hasn't is passed over, as that gateway may be frozen. The waiters of a team over its share leave free slots unused on purpose, so each gateway passed over those of all others. Ruled out: queues of runners (all started on a free slot) and waiters that reports don't list.

Now waiters over their share keep their place until their report expires.

--- a/gateway/pkg/admission/fleet_queue.go
+++ b/gateway/pkg/admission/fleet_queue.go
@@ -65,7 +65,8 @@
 func (f *FleetQueue) Count() int { return f.count }
 
 // Watch finds waiters at other gateways that don't use a slot which is free for them. free is the number of free slots
-// that this gateway sees.
+// that this gateway sees. Waiters of teams over their share leave free slots unused because of the share: if each gateway
+// passed over those of all others, all would start their waiters at once when the team is below its share again.
 func (f *FleetQueue) Watch(now clock.Millis, free int, own *WaitQueue) {
 	if now-f.watchedAt > stallTimeout {
 		f.startable = nil
@@ -77,6 +78,10 @@
 		if w.StartBy < now {
 			continue
 		}
+		if w.OverShare {
+			ahead++
+			continue
+		}
 		since, known := f.startable[w.Tie]
 		if known && now-since > stallTimeout {
 			// Stays passed over while it is reported, also if no slot is free for a while.
--- a/gateway/pkg/admission/fleet_queue_test.go
+++ b/gateway/pkg/admission/fleet_queue_test.go
@@ -103,6 +103,22 @@
 	}
 }
 
+// Guards against gateways that all start the waiters of a flooding team at once, since each passed over those of the
+// others while the team was over its share.
+func TestWaitersOverTheirShareAreNotPassedOver(t *testing.T) {
+	own, f := &WaitQueue{}, &FleetQueue{}
+	id := own.Enqueue(Waiter{Deadline: 9_000, OverShare: true})
+	waiting := startBy(8_000, 8_100)
+	for i := range waiting {
+		waiting[i].OverShare = true
+	}
+	for now := clock.Millis(0); now < 2_000; now += 50 {
+		f.Observe(now, viewOf(waiting...))
+		f.Watch(now, 5, own)
+	}
+	require.Equal(t, 2, f.Rank(2_000, own, id))
+}
+
 func TestFleetQueueFull(t *testing.T) {
 	const slots, gateways = 96, 8
 	others := func(count, known int, age clock.Millis) contention.View {
