Merge events of one millisecond in counts over short windows

Nothing was seen by callers yet; memory could grow without a bound: a count over a window below 16 ms kept an entry for each event of the same millisecond. Found by TestRapidRecentCount with 500 checks (window 1 ms, three events at once: 3 entries, 2 allowed); the default number of checks hadn't drawn it. The window is the mean hold, so it needs a service with holds that short.

Cause: a part of the window is window/16, which is 0 there, and no event is nearer than that to the last one. A part is at least 1 ms now. The case is kept; it fails before and passes now, with 3,000 checks.

--- a/gateway/pkg/fairshare/recent_count.go
+++ b/gateway/pkg/fairshare/recent_count.go
@@ -21,7 +21,7 @@
 func (c *recentCount) add(now, window clock.Millis) {
 	c.expire(now, window)
 	c.total++
-	if last := len(c.entries) - 1; last >= 0 && now-c.entries[last].at < window/countParts {
+	if last := len(c.entries) - 1; last >= 0 && now-c.entries[last].at < max(window/countParts, 1) {
 		c.entries[last].count++
 		return
 	}
