Give a request past its objective no chance to start in time

A queued request whose objective has passed counted as certainly in time where the mean hold is unknown (0 ms), and would have been sent to a runner's queue as if it were. Holds are at least some milliseconds at a gateway, so callers haven't met it.

Cause: startProbability returned 1 for a hold of 0 before it looked at the time left. Now no time left means no chance unless a slot is free.

--- a/gateway/pkg/admission/admission.go
+++ b/gateway/pkg/admission/admission.go
@@ -125,6 +125,9 @@
 // slots started at independent times, and each holds its slot for about Hold. So in each full Hold all of them end
 // once, and in the rest of the duration each ends with the same probability.
 func (r Request) startProbability(duration clock.Millis) float64 {
+	if duration <= 0 && r.QueuePosition > 0 {
+		return 0
+	}
 	if r.Hold <= 0 {
 		return 1
 	}
