--- a/gateway/pkg/fairshare/shares.go
+++ b/gateway/pkg/fairshare/shares.go
@@ -43,8 +43,6 @@
 	teams      map[quota.ID]teamTotal
 	claims     []maxmin.Claim
 	over       int
-	// history holds this gateway's running requests of the flooding teams since the oldest report.
-	history map[quota.ID][]ownCount
 	// result holds what is the same in the status of all teams.
 	result Status
 }
@@ -53,22 +51,12 @@
 type teamTotal struct {
 	// others is the part of the running requests at other gateways, own that at this gateway.
 	others, own int
-	// demand is the demand at all gateways, ownDemand the part of it at this gateway.
-	demand, ownDemand int
-	// ownReported is the number of running requests at this gateway when the other gateways made their reports,
-	// valid if floods is set.
-	ownReported int
+	demand      int
 	weight      float64
 	// floods is set if the team asks for much more per weight than the others.
 	floods bool
 }
 
-// ownCount is the number of running requests at a time.
-type ownCount struct {
-	at      clock.Millis
-	running int
-}
-
 // Due reports whether Update has to be called before the next call of Status.
 func (s *Shares) Due(now clock.Millis, weights *Weights) bool {
 	return s.weights != weights || now < s.updatedAt || now-s.updatedAt >= updateInterval
@@ -87,7 +75,7 @@
 	}
 	clear(s.teams)
 	for _, d := range in.Own {
-		s.teams[d.Team] = teamTotal{own: d.Running, demand: d.Demand, ownDemand: d.Demand}
+		s.teams[d.Team] = teamTotal{own: d.Running, demand: d.Demand}
 	}
 	for _, d := range view.Teams {
 		total := s.teams[d.Team]
@@ -105,7 +93,6 @@
 		s.claims = append(s.claims, maxmin.Claim{Weight: maxmin.FiniteWeight(rest.Weight), Demand: float64(rest.Demand)})
 	}
 	s.divide(in, view)
-	s.recordOwn(now, view.Age)
 	s.countOver()
 }
 
@@ -150,50 +137,7 @@
 	if !total.floods {
 		limit += margin
 	}
-	running := s.countedRunning(total, own)
-	r.Over = r.InForce && running >= max(limit, minShare)
-	r.NoQueue = r.Over && running >= max(limit+queueMargin*margin, minShare)
-	if r.InForce && total.floods {
-		r.Floods, r.Room = true, max(int(math.Ceil(limit-running)), 0)
-	}
+	r.Over = r.InForce && float64(r.Running) >= max(limit, minShare)
+	r.NoQueue = r.Over && float64(r.Running) >= max(limit+queueMargin*margin, minShare)
 	return r
 }
-
-// countedRunning returns the number of running requests that is compared with a team's limit. Reports of other gateways
-// are older than the slots that become free, and all gateways would use the rest of a flooding team's share at the same
-// time. So the others are expected to have started requests since their reports as this gateway has, in proportion to
-// their demand.
-func (s *Shares) countedRunning(total teamTotal, own int) float64 {
-	all := float64(total.others + own)
-	if !total.floods || s.result.Basis != Reports {
-		return all
-	}
-	started := float64(max(own-total.ownReported, 0))
-	others := float64(total.demand - total.ownDemand)
-	return all + min(started*others/float64(max(total.ownDemand, 1)), max(others-float64(total.others), 0))
-}
-
-// recordOwn records this gateway's running requests of the flooding teams, and sets those at the time of the oldest
-// report.
-func (s *Shares) recordOwn(now clock.Millis, age clock.Millis) {
-	for team, total := range s.teams {
-		if !total.floods {
-			continue
-		}
-		history := append(s.history[team], ownCount{now, total.own})
-		for len(history) > 1 && history[1].at <= now-age {
-			history = history[1:]
-		}
-		total.ownReported = history[0].running
-		s.teams[team] = total
-		if s.history == nil {
-			s.history = map[quota.ID][]ownCount{}
-		}
-		s.history[team] = history
-	}
-	for team, history := range s.history {
-		if history[len(history)-1].at != now {
-			delete(s.history, team)
-		}
-	}
-}
--- a/gateway/pkg/fairshare/shares_test.go
+++ b/gateway/pkg/fairshare/shares_test.go
@@ -292,27 +292,6 @@
 	}
 }
 
-// Guards against gateways that all use the rest of a flooding team's share at the same time, since each compares the
-// share with reports of the others from before they did the same.
-func TestGatewaysDoNotUseRestOfShareTwice(t *testing.T) {
-	in := Input{Capacity: 100, Gateways: 10, Weights: equalWeights, Hold: 1_000, LoadAge: 10}
-	in.View = view(9, 100, contention.TeamDemand{Team: 1, Running: 27, Demand: 270}, contention.TeamDemand{Team: 2, Running: 60, Demand: 60})
-	var s Shares
-	in.Own = demands([2]int{2, 30})
-	s.Update(1_000, in)
-	require.True(t, s.Status(1, 2).Floods)
-	require.False(t, s.Status(1, 2).Over)
-	require.Equal(t, 18, s.Status(1, 2).Room)
-	require.Equal(t, 1, s.Status(1, 2).UsableSlots(s.Status(1, 2).Reserved+1))
-	require.True(t, s.Status(1, 4).Over, "the others have probably started nine times as many")
-
-	in.Own = demands([2]int{4, 30})
-	s.Update(1_005, in)
-	in.View.Age = 50
-	s.Update(1_060, in)
-	require.False(t, s.Status(1, 4).Over, "reports made after the last start contain those of the others")
-}
-
 // The slots that a flooding team leaves free are taken from its share alone. On few slots, the reserve can be as large as
 // the capacity, and the other teams must keep their shares.
 func TestReserveDoesNotReduceOtherShares(t *testing.T) {
--- a/gateway/pkg/fairshare/status.go
+++ b/gateway/pkg/fairshare/status.go
@@ -19,10 +19,6 @@
 	Share float64
 	// Reserved is the number of free slots of the fleet that a team over its share leaves to requests of the others.
 	Reserved int
-	// Floods is set if the team asks for much more per weight than the others. Room is then the number of requests
-	// that it may still start at all gateways.
-	Floods bool
-	Room   int
 	// Capacity is the number of slots that is divided.
 	Capacity float64
 	Basis    Basis
@@ -30,11 +26,3 @@
 	Gateways int
 	Age      clock.Millis
 }
-
-// UsableSlots returns how many of the free slots of the fleet the team's waiting requests may use at all gateways.
-func (s Status) UsableSlots(free int) int {
-	if !s.Floods {
-		return free
-	}
-	return max(min(free-s.Reserved, s.Room), 0)
-}
--- a/gateway/pkg/forward/share.go
+++ b/gateway/pkg/forward/share.go
@@ -31,7 +31,6 @@
 	if free && share.Over && choice.Free <= share.Reserved {
 		choice.QueuePosition, free, e.noQueue = 1, false, true
 	}
-	choice.Free = share.UsableSlots(choice.Free)
 	if !free {
 		e.share = share
 	}
--- a/lab/pkg/replay/shares.go
+++ b/lab/pkg/replay/shares.go
@@ -104,7 +104,6 @@
 	if status.Over && choice.QueuePosition == 0 && choice.Free <= status.Reserved {
 		choice.QueuePosition, r.noQueue = 1, true
 	}
-	choice.Free = status.UsableSlots(choice.Free)
 }
 
 // slotsScarce reports whether a free slot that a waiting request of a team over its share was given is probably taken, like
