Name software versions in logs and metrics

An answer that held events of two software versions couldn't be told from a sound one by our own output: the list's version was decoded and dropped, and nothing said whether a request took a stream up. Runners carry the version of their software, and lines of calls, of ended requests and items and of the list name it; request-ended says which attempt a caller resumes and after which event. toucanhinge_streams_continued_total counts streams that went on, by whom and at which version. No decision changes.

--- a/control/pkg/batchrun/outcome.go
+++ b/control/pkg/batchrun/outcome.go
@@ -18,7 +18,7 @@
 	}
 	d.config.Metrics.Ended.WithLabelValues(string(o.kind)).Inc()
 	level.Info(d.config.Logger).Log(logs.KeyEvent, logs.EventItemEnded, logs.KeyJob, key.Job, "index", key.Index,
-		"item", o.run.item, "runner", id, "outcome", o.kind, "events", o.run.progress.lastEvent(), "late-ms", d.machine.Lateness(now, key), "left-ms", d.machine.Remaining(now, key), logs.KeyError, o.err)
+		"item", o.run.item, "runner", id, "software", o.run.target.GetVersion(), "outcome", o.kind, "events", o.run.progress.lastEvent(), "late-ms", d.machine.Lateness(now, key), "left-ms", d.machine.Remaining(now, key), logs.KeyError, o.err)
 	if !current {
 		d.handleStaleOutcome(ctx, o)
 		return
--- a/control/pkg/core/directory.go
+++ b/control/pkg/core/directory.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -9,6 +12,7 @@
 
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/logs"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
 const (
@@ -66,7 +70,21 @@
 				draining++
 			}
 		}
-		level.Info(c.config.Logger).Log(logs.KeyEvent, "runners-changed", "runners", len(runners), "leaving", draining)
+		level.Info(c.config.Logger).Log(logs.KeyEvent, "runners-changed", "runners", len(runners), "leaving", draining,
+			"software", softwareVersions(runners))
 		c.driver.Wake()
 	}
 }
+
+// softwareVersions returns the number of runners of each service and software version as text, in order.
+func softwareVersions(runners []*toucanhingev1.Runner) string {
+	counts := map[string]int{}
+	for _, r := range runners {
+		counts[r.GetService()+" "+r.GetVersion()]++
+	}
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s: %d", name, counts[name]))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -66,14 +66,18 @@
 	// retry is set if the caller retries a request that was refused before.
 	retry bool
 
-	// tried lists the runners to which the request was sent; runs counts those that may have run it.
-	tried []string
-	runs  int
+	// tried lists the runners to which the request was sent, versions their software versions; runs counts those
+	// that may have run it.
+	tried    []string
+	versions []string
+	runs     int
 	// headerSent is set once the answer's header was sent to the caller.
 	headerSent  bool
 	resume      bool
 	lastEventID uint64
 	events      int
+	// eventVersion is the software version of the runner that sent the newest event.
+	eventVersion string
 
 	outcome      string
 	reason       string
@@ -178,6 +182,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	e.tried = append(e.tried, r.GetId())
+	e.versions = append(e.versions, r.GetVersion())
 	e.server.config.Exchange.Add(r.GetId(), occupancy.Load{Online: 1})
 	defer e.server.config.Exchange.Add(r.GetId(), occupancy.Load{Online: -1})
 	defer e.server.contention.countRunning(e.service, e.team)()
@@ -325,7 +330,7 @@
 	e.err = err
 	e.server.metrics.retried.WithLabelValues(reason).Inc()
 	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventRequestRetried, logs.KeyRequest, e.request.ID,
-		"runner", r.GetId(), "reason", reason, "ran", e.runs, logs.KeyError, err)
+		"runner", r.GetId(), "software", r.GetVersion(), "after", e.lastEventID, "reason", reason, "ran", e.runs, logs.KeyError, err)
 	return true
 }
 
@@ -365,12 +370,15 @@
 	if e.queued {
 		logger = log.With(logger, "queue-rank", e.turn.rank, "queue-free", e.turn.free, "queue-gateways", e.turn.gateways, "queue-age-ms", e.turn.age)
 	}
+	if e.request.Resume {
+		logger = log.With(logger, "resumes", e.request.Resumes, "resume-after", e.request.After)
+	}
 	if e.pace != 1 && e.pace != 0 {
 		logger = log.With(logger, "pace", e.pace, "present-pace", e.presentPace)
 	}
 	withShare(logger, e.share).Log(logs.KeyEvent, logs.EventRequestEnded, logs.KeyRequest, e.request.ID,
 		"route", e.route.Name, "team", e.auth.Team.GetName(), "version", e.server.Version(),
-		"outcome", e.outcome, "reason", e.reason, "runners", e.tried, "ran", e.runs,
+		"outcome", e.outcome, "reason", e.reason, "runners", e.tried, "software", e.versions, "ran", e.runs,
 		"expected-wait-ms", e.expectedWait, "returned", e.retry, "waited-ms", e.waited, "first-ms", firstEvent,
 		"objective-ms", e.route.Objective(), "took-ms", now-e.request.Arrived, "events", e.events,
 		"left-ms", e.deadline-now, logs.KeyError, e.err)
--- a/gateway/pkg/forward/request.go
+++ b/gateway/pkg/forward/request.go
@@ -30,6 +30,9 @@
 	// Resume is set if a stream is to continue after the event with the ID After.
 	Resume bool
 	After  uint64
+	// Resumes is the ID of the attempt in which the caller received the first event of that stream; empty if the
+	// caller didn't name it.
+	Resumes string
 	// Arrived is when the request's header was received.
 	Arrived clock.Millis
 }
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -74,6 +74,7 @@
 	requests   *prometheus.CounterVec
 	refused    *prometheus.CounterVec
 	retried    *prometheus.CounterVec
+	continued  *prometheus.CounterVec
 	firstEvent prometheus.Histogram
 	waiting    prometheus.Gauge
 	crashes    prometheus.Counter
@@ -103,6 +104,9 @@
 			retried: factory.NewCounterVec(prometheus.CounterOpts{
 				Name: "toucanhinge_requests_retried_total", Help: "Requests that were retried at another runner, by reason.",
 			}, []string{"reason"}),
+			continued: factory.NewCounterVec(prometheus.CounterOpts{
+				Name: "toucanhinge_streams_continued_total", Help: "Streams continued after a break, by whom and at which software version.",
+			}, []string{"by", "version"}),
 			firstEvent: factory.NewHistogram(prometheus.HistogramOpts{
 				Name: "toucanhinge_first_event_seconds", Help: "Time from a request's arrival to its first event.",
 				Buckets: []float64{.01, .02, .05, .1, .2, .3, .5, 1, 2, 5},
--- a/gateway/pkg/forward/stream.go
+++ b/gateway/pkg/forward/stream.go
@@ -34,6 +34,14 @@
 	minEventTimeout clock.Millis = 100
 )
 
+// Values of the metric label for the software version at which a stream continues: the one that began it, another
+// one, or one that can't be compared.
+const (
+	continuedSame    = "same"
+	continuedOther   = "other"
+	continuedUnknown = "unknown"
+)
+
 // stream forwards complete events, one at a time. An event that was received in part never reaches the
 // caller, so that the stream can continue at another runner after the last complete event.
 func (e *exchange) stream(r *toucanhingev1.Runner, answer *runner.Answer, timer *eventTimer, watch *digest.Watch) error {
@@ -58,6 +66,7 @@
 		}
 		if e.callFirstEventAt == 0 {
 			e.callFirstEventAt = e.now()
+			e.countContinuation(r)
 		}
 		if e.firstEventAt == 0 {
 			e.firstEventAt = e.now()
@@ -74,6 +83,23 @@
 	}
 }
 
+// countContinuation counts a call that has sent an event by whether it continues a stream at the software version that
+// began it.
+func (e *exchange) countContinuation(r *toucanhingev1.Runner) {
+	origin := e.eventVersion
+	e.eventVersion = r.GetVersion()
+	by, version := "gateway", continuedSame
+	switch {
+	case e.events == 0 && !e.request.Resume:
+		return
+	case e.events == 0:
+		by, version = "caller", continuedUnknown
+	case origin != r.GetVersion():
+		version = continuedOther
+	}
+	e.server.metrics.continued.WithLabelValues(by, version).Inc()
+}
+
 // gapTimeout returns the maximum time between two events of a stream from a runner.
 func (e *exchange) gapTimeout(r *toucanhingev1.Runner) clock.Millis {
 	return eventTimeout(gapTimeoutShare, clock.Millis(e.route.GapObjectiveMs), e.server.config.Exchange.PresentPace(r.GetId()))
