Continue an answer only at the software version that began it

An exchange now remembers the service and version of its first event, and placement selects only runners of that version for it; so every place that continues an answer (break, event timeout, refusal of a full runner) is covered by one decision. If none can be used, the answer is broken off at once with no-runner-of-software-version.

--- a/gateway/pkg/forward/admit.go
+++ b/gateway/pkg/forward/admit.go
@@ -14,11 +14,13 @@
 // admit selects a runner, waits for a free slot if necessary, or returns the refusal.
 func (e *exchange) admit(ctx context.Context) (placement.Choice, *Refusal) {
 	choice, req, found := e.selectRunner()
-	if !found {
+	switch {
+	case !found && e.origin.Service != "":
+		return choice, e.noVersionRefusal()
+	case !found:
 		return choice, e.unavailableRefusal(ReasonNoRunner, req)
-	}
-	// A stream that the caller has begun to receive continues at any runner.
-	if e.headerSent {
+	case e.headerSent:
+		// A stream that the caller has begun to receive continues without regard to other requests.
 		return choice, nil
 	}
 	switch admission.Decide(e.now(), req) {
@@ -34,7 +36,7 @@
 // placementRequest returns the input for the selection of a runner.
 func (e *exchange) placementRequest() placement.Request {
 	return placement.Request{
-		Service: e.service, Route: e.route.Name, Size: e.request.Size, Tried: slices.Clone(e.tried), Objective: e.route.Objective(), Gap: clock.Millis(e.route.GapObjectiveMs),
+		Service: e.service, Version: e.origin.Version, Route: e.route.Name, Size: e.request.Size, Tried: slices.Clone(e.tried), Objective: e.route.Objective(), Gap: clock.Millis(e.route.GapObjectiveMs),
 	}
 }
 
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -17,6 +17,7 @@
 	"toucanhinge.example/common/pkg/quota"
 	"toucanhinge.example/common/pkg/routing"
 	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/common/pkg/streamorigin"
 	"toucanhinge.example/gateway/pkg/fairshare"
 	"toucanhinge.example/gateway/pkg/placement"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
@@ -76,8 +77,8 @@
 	resume      bool
 	lastEventID uint64
 	events      int
-	// eventVersion is the software version of the runner that sent the newest event.
-	eventVersion string
+	// origin is where the stream began; its service is empty before the first event.
+	origin streamorigin.Origin
 
 	outcome      string
 	reason       string
@@ -137,6 +138,10 @@
 			return
 		}
 	}
+	if e.origin.Service != "" {
+		e.giveUp(ctx, *e.noVersionRefusal())
+		return
+	}
 	_, req, _ := e.selectRunner()
 	e.giveUp(ctx, *e.unavailableRefusal(ReasonNoRunner, req))
 }
--- a/gateway/pkg/forward/request.go
+++ b/gateway/pkg/forward/request.go
@@ -57,6 +57,8 @@
 	ReasonNoChance = "no-chance-to-start"
 	ReasonBroken   = "runner-broke-off"
 	ReasonAttempts = "attempts-used-up"
+	// ReasonNoVersion means that no runner of the stream's software version can be used.
+	ReasonNoVersion = "no-runner-of-software-version"
 	// ReasonCrashes means that the request crashes runners and is quarantined until the time of its
 	// Retry-After header.
 	ReasonCrashes = "crashes-runners"
--- a/gateway/pkg/forward/stream.go
+++ b/gateway/pkg/forward/stream.go
@@ -34,12 +34,11 @@
 	minEventTimeout clock.Millis = 100
 )
 
-// Values of the metric label for the software version at which a stream continues: the one that began it, another
-// one, or one that can't be compared.
+// Values of the metric label for the software version at which a stream continues: the one that began it, or another
+// one, which must not happen.
 const (
-	continuedSame    = "same"
-	continuedOther   = "other"
-	continuedUnknown = "unknown"
+	continuedSame  = "same"
+	continuedOther = "other"
 )
 
 // stream forwards complete events, one at a time. An event that was received in part never reaches the
@@ -66,8 +65,11 @@
 		}
 		if e.callFirstEventAt == 0 {
 			e.callFirstEventAt = e.now()
-			e.countContinuation(r)
+			if e.origin.Service != "" {
+				e.countContinuation(r)
+			}
 		}
+		e.setOrigin(r.GetVersion())
 		if e.firstEventAt == 0 {
 			e.firstEventAt = e.now()
 		}
@@ -86,15 +88,8 @@
 // countContinuation counts a call that has sent an event by whether it continues a stream at the software version that
 // began it.
 func (e *exchange) countContinuation(r *toucanhingev1.Runner) {
-	origin := e.eventVersion
-	e.eventVersion = r.GetVersion()
 	by, version := "gateway", continuedSame
-	switch {
-	case e.events == 0 && !e.request.Resume:
-		return
-	case e.events == 0:
-		by, version = "caller", continuedUnknown
-	case origin != r.GetVersion():
+	if e.origin.Version != r.GetVersion() {
 		version = continuedOther
 	}
 	e.server.metrics.continued.WithLabelValues(by, version).Inc()
--- a/gateway/pkg/placement/machine.go
+++ b/gateway/pkg/placement/machine.go
@@ -71,6 +71,8 @@
 // Request describes a request that needs a runner.
 type Request struct {
 	Service string
+	// Version is the only software version whose runners may be selected; empty for any.
+	Version string
 	// Route and Size tell how long the request will probably hold its slot; both may be empty.
 	Route string
 	Size  Size
@@ -234,7 +236,7 @@
 	var tried, avoided []*toucanhingev1.Runner
 	for _, r := range m.runners {
 		switch {
-		case r.GetService() != req.Service || r.GetLeaving() || len(m.blocked) > 0 && m.blocked[r.GetId()] > now:
+		case r.GetService() != req.Service || req.Version != "" && r.GetVersion() != req.Version || r.GetLeaving() || len(m.blocked) > 0 && m.blocked[r.GetId()] > now:
 		case slices.Contains(req.Tried, r.GetId()):
 			tried = append(tried, r)
 		case len(m.avoided) > 0 && m.avoided[r.GetId()]:
