Take up a caller's stream only at the software version that began it

A caller whose answer broke off comes back, usually at another gateway, with the last event it has; any runner of the service went on.

The gateway that sends the first event records attempt, team and route (hashed) with service and version, and sends the record to three other gateways selected by hashing; a gateway to which the caller comes back asks those. A record never changes, so it can be missing but not outdated, and a gateway without one refuses at once, in touch or not. A stream that is taken up goes before requests that may begin elsewhere, and is refused at once if no runner of its version is left.

--- a/common/pkg/digest/exchange.go
+++ b/common/pkg/digest/exchange.go
@@ -1,7 +1,7 @@
 // Package digest exchanges load digests between daemons over UDP. A digest is small, is sent a
 // few milliseconds after a change and replaces the previous one, so the next digest makes up for
 // a lost datagram. Daemons use the same socket to report requests that crash runners; those
-// reports are sent several times.
+// reports are sent several times. Gateways use it as well to tell each other where streams began.
 package digest
 
 import (
@@ -74,6 +74,7 @@
 	emptySent  int
 	dirty      chan struct{}
 	crashState *crashState
+	origins    *originState
 
 	mu    sync.Mutex
 	table *occupancy.Table
@@ -107,7 +108,7 @@
 		isolation: isolation{startedAt: config.Boot.Now()}, contention: newContentionState(),
 		config: config, socket: socket, epoch: uint64(config.Clock.Now()), all: map[string]netip.AddrPort{},
 		relay: newRelay(config.Source, Peer{Address: config.Address, DataCentre: config.DataCentre, Core: config.Core}),
-		dirty: make(chan struct{}, 1), crashState: newCrashState(), table: occupancy.New(), runnerSeen: map[string]clock.Millis{},
+		dirty: make(chan struct{}, 1), crashState: newCrashState(), origins: newOriginState(), table: occupancy.New(), runnerSeen: map[string]clock.Millis{},
 	}
 	x.relay.contention.sum, x.relay.contention.delayFactor = x.dataCentreContention, x.delayFactor
 	return x, nil
@@ -128,6 +129,7 @@
 			others = append(others, p)
 		}
 	}
+	x.setOriginGateways(others)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.resendUsage(all)
@@ -258,6 +260,7 @@
 	wg.Go(func() { x.receive(ctx) })
 	wg.Go(func() { x.runRelay(ctx) })
 	wg.Go(func() { x.runCrashGossip(ctx) })
+	wg.Go(func() { x.runOrigins(ctx) })
 	x.send(ctx)
 	_ = x.socket.Close()
 	wg.Wait()
@@ -442,6 +445,10 @@
 			x.receiveCrashes(d.GetSource(), sender, message)
 			continue
 		}
+		if message := d.GetStreams(); message != nil {
+			x.receiveOrigins(sender, message)
+			continue
+		}
 		for _, peer := range x.apply(sender.String(), d) {
 			x.write(buffer[:n], peer)
 		}
--- a/common/pkg/logs/logs.go
+++ b/common/pkg/logs/logs.go
@@ -28,6 +28,7 @@
 const (
 	EventRequestEnded   = "request-ended"
 	EventRequestRetried = "request-goes-elsewhere"
+	EventStreamTakenUp  = "stream-taken-up"
 	EventRunnerCrashed  = "runner-crashed"
 	EventItemPaused     = "item-paused"
 	EventItemMoved      = "item-moved"
--- a/gateway/pkg/forward/admit.go
+++ b/gateway/pkg/forward/admit.go
@@ -22,6 +22,8 @@
 	case e.headerSent:
 		// A stream that the caller has begun to receive continues without regard to other requests.
 		return choice, nil
+	case e.origin.Service != "":
+		return choice, e.admitTakenUp(choice, req)
 	}
 	switch admission.Decide(e.now(), req) {
 	case admission.Admit:
@@ -33,6 +35,15 @@
 	}
 }
 
+// admitTakenUp admits a stream that the caller takes up before the requests that wait for a slot: those can begin at any
+// runner, while few may run its software version. It is refused only if it would wait for too long.
+func (e *exchange) admitTakenUp(choice placement.Choice, req admission.Request) *Refusal {
+	if choice.Wait <= min(maxResumeWait, e.deadline-e.now()) {
+		return nil
+	}
+	return e.noSlotRefusal(req)
+}
+
 // placementRequest returns the input for the selection of a runner.
 func (e *exchange) placementRequest() placement.Request {
 	return placement.Request{
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -77,8 +77,9 @@
 	resume      bool
 	lastEventID uint64
 	events      int
-	// origin is where the stream began; its service is empty before the first event.
-	origin streamorigin.Origin
+	// origin is where the stream began; its service is empty before the first event. originSent is set once it is recorded.
+	origin     streamorigin.Origin
+	originSent bool
 
 	outcome      string
 	reason       string
@@ -115,6 +116,10 @@
 // serve sends the request to runners until it is answered or refused, or fails.
 func (e *exchange) serve(ctx context.Context) {
 	defer func() { e.leaveQueue() }()
+	if refusal := e.resolveOrigin(ctx); refusal != nil {
+		e.giveUp(ctx, *refusal)
+		return
+	}
 	for len(e.tried) < maxTries {
 		// A request may be quarantined before it waits for a slot or meanwhile.
 		refusal := e.checkQuarantine(ctx)
--- a/gateway/pkg/forward/origin.go
+++ b/gateway/pkg/forward/origin.go
@@ -1,21 +1,147 @@
 package forward
 
 import (
+	"context"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/digest"
+	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/routing"
 	"toucanhinge.example/common/pkg/streamorigin"
 )
 
-// versionRetryDelay is how soon a caller may take up its stream again if all runners of its software version are
-// blocked at the moment, for example because they restart.
-const versionRetryDelay = 500 * time.Millisecond
+const (
+	// originSlack is how much longer than its request the origin of a stream is remembered.
+	originSlack clock.Millis = 2_000
+	// maxFleetAge is the age of the list of runners up to which it shows whether a service has a single software
+	// version. Gateways receive it about every 400 ms.
+	maxFleetAge clock.Millis = 1_500
+	// streamLives is the number of the route's time limits for which a service must have had a single software version,
+	// so that a stream without a record can't have begun at another one. A caller's attempts follow each other.
+	streamLives = 2
+	// maxResumeWait is the longest expected wait for a slot with which a stream is taken up: callers give up after
+	// two seconds without an event.
+	maxResumeWait clock.Millis = 1_500
+	// versionRetryDelay is how soon a caller may take up its stream again if all runners of its software version are
+	// blocked at the moment, for example because they restart.
+	versionRetryDelay = 500 * time.Millisecond
+)
+
+// Ways in which a gateway learned where a stream began, as in logs.
+const (
+	knownByRecord      = "record"
+	knownByOnlyVersion = "only-version"
+	knownByNobody      = "nobody"
+)
+
+// routeService is the only service of a route and the time since which it has been.
+type routeService struct {
+	service string
+	since   clock.Millis
+}
+
+// routeID identifies a route across routing tables.
+func routeID(route routing.Route) string { return route.GetHost() + route.GetPrefix() }
+
+// recordRoutes records the service of each streaming route of a new table that has just one. The caller holds the lock.
+func (s *Server) recordRoutes(table *routing.Table) {
+	now := s.config.Clock.Now()
+	previous := s.routeServices
+	s.routeServices = map[string]routeService{}
+	for _, wire := range table.Wire().GetRoutes() {
+		route := routing.Route{Route: wire}
+		services := route.Services()
+		if !route.Streams() || len(services) != 1 {
+			continue
+		}
+		entry := routeService{service: services[0], since: now}
+		if before, known := previous[routeID(route)]; known && before.service == entry.service {
+			entry.since = before.since
+		}
+		s.routeServices[routeID(route)] = entry
+	}
+}
+
+// ConfirmFleet records that the list of runners contains all that the core's leader knew at a time of the boot clock.
+func (s *Server) ConfirmFleet(asOf clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleetConfirmedAt = max(s.fleetConfirmedAt, asOf)
+}
+
+// onlyOrigin returns the origin of all streams of a route if they can only have begun at one software version of one
+// service. A gateway that was frozen or is cut off may not know of a new version, so it must have a recent list.
+func (s *Server) onlyOrigin(route routing.Route) (streamorigin.Origin, bool) {
+	now, span := s.config.Clock.Now(), streamLives*route.TimeLimit()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry, known := s.routeServices[routeID(route)]
+	if !known || now-entry.since < span || s.config.Boot.Now()-s.fleetConfirmedAt > maxFleetAge {
+		return streamorigin.Origin{}, false
+	}
+	version, ok := s.versions.Only(now, entry.service, span)
+	return streamorigin.Origin{Service: entry.service, Version: version}, ok
+}
+
+// takesUpStream reports whether the caller takes up a stream that an earlier attempt began.
+func (e *exchange) takesUpStream() bool { return e.request.Resume && e.route.Streams() }
+
+// originKey returns the key of the attempt in which the caller received the first event.
+func (e *exchange) originKey() streamorigin.Key {
+	attempt := e.request.ID
+	if e.takesUpStream() {
+		attempt = e.request.Resumes
+	}
+	return streamorigin.KeyOf(e.auth.Team.GetName(), routeID(e.route), attempt)
+}
+
+// resolveOrigin determines the service and the software version at which the caller's stream goes on. Nothing else may
+// continue it, so that a stream whose origin isn't known for certain is refused.
+func (e *exchange) resolveOrigin(ctx context.Context) *Refusal {
+	if !e.takesUpStream() {
+		return nil
+	}
+	startedAt, by := e.now(), knownByRecord
+	var finding digest.OriginFinding
+	if e.request.Resumes != "" {
+		finding = e.server.config.Exchange.FindOrigin(ctx, e.originKey())
+	}
+	if !finding.Found {
+		by = knownByOnlyVersion
+		finding.Origin, finding.Found = e.server.onlyOrigin(e.route)
+	}
+	if !finding.Found {
+		by = knownByNobody
+	}
+	e.server.metrics.takenUp.WithLabelValues(by).Inc()
+	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventStreamTakenUp, logs.KeyRequest, e.request.ID,
+		"resumes", e.request.Resumes, "after", e.request.After, "known-by", by, "service", finding.Origin.Service,
+		"software", finding.Origin.Version, "asked", finding.Asked, "unknown-to", finding.Answered, "took-ms", e.now()-startedAt)
+	switch {
+	case !finding.Found:
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonUnknownStream}
+	case !slices.Contains(e.route.Services(), finding.Origin.Service):
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonStreamMoved}
+	}
+	e.service, e.origin = finding.Origin.Service, finding.Origin
+	return nil
+}
 
 // setOrigin records at the first event where the stream began.
 func (e *exchange) setOrigin(version string) {
 	if e.origin.Service == "" {
 		e.origin = streamorigin.Origin{Service: e.service, Version: version}
 	}
+	if e.originSent || !e.route.Resumable || e.request.ID == "" {
+		return
+	}
+	e.originSent = true
+	e.server.config.Exchange.RecordOrigin(e.originKey(), e.origin, e.deadline-e.now()+originSlack)
 }
 
 // noVersionRefusal refuses to continue a stream because no runner of its software version can be used.
--- a/gateway/pkg/forward/request.go
+++ b/gateway/pkg/forward/request.go
@@ -57,6 +57,11 @@
 	ReasonNoChance = "no-chance-to-start"
 	ReasonBroken   = "runner-broke-off"
 	ReasonAttempts = "attempts-used-up"
+	// ReasonUnknownStream means that a stream can't be taken up because nobody reachable knows at which software
+	// version it began.
+	ReasonUnknownStream = "unknown-stream"
+	// ReasonStreamMoved means that the route doesn't lead to the stream's service any more.
+	ReasonStreamMoved = "stream-of-another-service"
 	// ReasonNoVersion means that no runner of the stream's software version can be used.
 	ReasonNoVersion = "no-runner-of-software-version"
 	// ReasonCrashes means that the request crashes runners and is quarantined until the time of its
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -20,6 +20,7 @@
 	"toucanhinge.example/common/pkg/occupancy"
 	"toucanhinge.example/common/pkg/routing"
 	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/common/pkg/streamorigin"
 	"toucanhinge.example/gateway/pkg/admission"
 	"toucanhinge.example/gateway/pkg/fairshare"
 	"toucanhinge.example/gateway/pkg/lease"
@@ -58,9 +59,14 @@
 	mu        sync.Mutex
 	placement *placement.Machine
 	loads     *occupancy.Cache[placement.Load]
-	runners   []*toucanhingev1.Runner
-	gateways  int
-	retries   *admission.RetryDetector
+	// versions holds the software versions of the runners over time, and routeServices the services of the routes.
+	versions      *streamorigin.History
+	routeServices map[string]routeService
+	// fleetConfirmedAt is the time by the boot clock up to which the list of runners is complete.
+	fleetConfirmedAt clock.Millis
+	runners          []*toucanhingev1.Runner
+	gateways         int
+	retries          *admission.RetryDetector
 	// queues holds the wait queue of each service, and waiters numbers the requests that waited.
 	queues  map[string]*serviceQueue
 	waiters uint64
@@ -75,6 +81,7 @@
 	refused    *prometheus.CounterVec
 	retried    *prometheus.CounterVec
 	continued  *prometheus.CounterVec
+	takenUp    *prometheus.CounterVec
 	firstEvent prometheus.Histogram
 	waiting    prometheus.Gauge
 	crashes    prometheus.Counter
@@ -89,10 +96,13 @@
 	factory.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "toucanhinge_requests_quarantined", Help: "Quarantined requests, which no runner may run.",
 	}, func() float64 { return float64(config.Exchange.QuarantineCount()) })
+	factory.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "toucanhinge_stream_origins", Help: "Streams whose origins are known here.",
+	}, func() float64 { return float64(config.Exchange.OriginCount()) })
 	s := &Server{
 		config: config, contention: contentionState{services: map[string]*serviceContention{}},
-		placement: placement.New(placement.Config{DataCentre: config.DataCentre}),
-		loads:     &occupancy.Cache[placement.Load]{Read: runnerLoad}, retries: admission.NewRetryDetector(),
+		versions: streamorigin.NewHistory(), placement: placement.New(placement.Config{DataCentre: config.DataCentre}),
+		loads: &occupancy.Cache[placement.Load]{Read: runnerLoad}, retries: admission.NewRetryDetector(),
 		queues: map[string]*serviceQueue{}, loadChanged: make(chan struct{}), ready: make(chan struct{}),
 		metrics: &metrics{
 			requests: factory.NewCounterVec(prometheus.CounterOpts{
@@ -107,6 +117,9 @@
 			continued: factory.NewCounterVec(prometheus.CounterOpts{
 				Name: "toucanhinge_streams_continued_total", Help: "Streams continued after a break, by whom and at which software version.",
 			}, []string{"by", "version"}),
+			takenUp: factory.NewCounterVec(prometheus.CounterOpts{
+				Name: "toucanhinge_streams_taken_up_total", Help: "Streams that callers take up, by how their origin is known.",
+			}, []string{"known_by"}),
 			firstEvent: factory.NewHistogram(prometheus.HistogramOpts{
 				Name: "toucanhinge_first_event_seconds", Help: "Time from a request's arrival to its first event.",
 				Buckets: []float64{.01, .02, .05, .1, .2, .3, .5, 1, 2, 5},
@@ -139,6 +152,9 @@
 			return
 		}
 		if s.table.CompareAndSwap(current, table) {
+			s.mu.Lock()
+			s.recordRoutes(table)
+			s.mu.Unlock()
 			level.Info(s.config.Logger).Log(logs.KeyEvent, "table-in-force", "version", table.Version)
 			s.signalReady()
 			return
@@ -162,6 +178,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.placement.SetRunners(runners)
+	s.versions.Update(s.config.Clock.Now(), runners)
 	s.runners = runners
 	s.gateways = gateways
 	s.fleetKnown.Store(true)
--- a/gateway/pkg/forward/server_test.go
+++ b/gateway/pkg/forward/server_test.go
@@ -144,9 +144,14 @@
 	if _, err := fmt.Sscan(r.Header.Get("Patience"), &timeout); err != nil {
 		timeout = 0
 	}
-	f.server.Serve(r.Context(), w, auth, Request{
+	request := Request{
 		ID: "q", Method: r.Method, Target: r.RequestURI, Host: "team", Arrived: f.server.config.Clock.Now(), Timeout: timeout,
-	})
+		Resumes: r.Header.Get("Resumes"),
+	}
+	if _, err := fmt.Sscan(r.Header.Get("After"), &request.After); err == nil {
+		request.Resume = true
+	}
+	f.server.Serve(r.Context(), w, auth, request)
 }
 
 // sent returns the calls so far.
--- a/gateway/pkg/forward/stream.go
+++ b/gateway/pkg/forward/stream.go
@@ -89,6 +89,9 @@
 // began it.
 func (e *exchange) countContinuation(r *toucanhingev1.Runner) {
 	by, version := "gateway", continuedSame
+	if e.events == 0 {
+		by = "caller"
+	}
 	if e.origin.Version != r.GetVersion() {
 		version = continuedOther
 	}
