Continue an item's text only at the software version that wrote it

Users read results whose first events one software version wrote and whose last another: items yield, move and break off all the time, and resumed at any runner of the service.

Dispatch lets an item wait for a slot of that version while others are free for as long as its work would take again, and else begins it anew; items that can't use a free slot leave it to others. The run discards a text that its runner can't continue before it sends anything. A restarted text is logged only when complete, because the log still holds the discarded one and a part of the new text that happened to follow its last event would be joined to it.

--- a/common/pkg/logs/logs.go
+++ b/common/pkg/logs/logs.go
@@ -32,6 +32,7 @@
 	EventRunnerCrashed  = "runner-crashed"
 	EventItemPaused     = "item-paused"
 	EventItemMoved      = "item-moved"
+	EventItemRestarted  = "item-restarted"
 	EventItemEnded      = "item-call-ended"
 	EventJobAnswered    = "job-answered"
 )
--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -200,7 +200,7 @@
 		if !j.Items[i].Done {
 			d.machine.Add(dispatch.Item{
 				Key: dispatch.Key{Job: j.Name, Index: uint32(i)}, Deadline: deadline, Expires: expires, Tokens: j.Items[i].Tokens,
-				Team: j.Team, Priority: priority,
+				Team: j.Team, Priority: priority, Version: j.Items[i].Version,
 			})
 		}
 	}
--- a/control/pkg/batchrun/metrics.go
+++ b/control/pkg/batchrun/metrics.go
@@ -11,6 +11,8 @@
 	Running prometheus.Gauge
 	Paused  prometheus.Counter
 	Moved   prometheus.Counter
+	// Restarted counts items whose text was discarded because no runner could continue it.
+	Restarted prometheus.Counter
 	// Ended counts calls by outcome, and Listed counts results by reason.
 	Ended  *prometheus.CounterVec
 	Listed *prometheus.CounterVec
@@ -28,6 +30,9 @@
 		Moved: factory.NewCounter(prometheus.CounterOpts{
 			Name: "toucanhinge_items_moved_total", Help: "Items moved to a faster runner.",
 		}),
+		Restarted: factory.NewCounter(prometheus.CounterOpts{
+			Name: "toucanhinge_items_restarted_total", Help: "Items that began anew at another software version.",
+		}),
 		Ended: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "toucanhinge_item_calls_total", Help: "Item calls by outcome.",
 		}, []string{"outcome"}),
--- a/control/pkg/batchrun/outcome.go
+++ b/control/pkg/batchrun/outcome.go
@@ -50,6 +50,7 @@
 		d.machine.Stopped(now, key, min(max(o.until-now, 0), maxQuarantineBackoff))
 	case paused:
 	}
+	d.machine.SetVersion(key, o.run.progress.writtenBy())
 }
 
 // handleStaleOutcome applies the outcome of a call whose item was preempted and has since started
--- a/control/pkg/batchrun/progress_log.go
+++ b/control/pkg/batchrun/progress_log.go
@@ -23,9 +23,9 @@
 	text, err := d.config.Machine.Text(item.Parts)
 	if err != nil {
 		level.Error(d.config.Logger).Log(logs.KeyEvent, "progress-unread", logs.KeyJob, key.Job, "index", key.Index, logs.KeyError, err)
-		return &progress{}
+		return &progress{restarted: item.LastEvent > 0}
 	}
-	return &progress{last: item.LastEvent, text: text, loggedLast: item.LastEvent, loggedBytes: len(text)}
+	return &progress{last: item.LastEvent, text: text, version: item.Version, loggedLast: item.LastEvent, loggedBytes: len(text)}
 }
 
 // logProgress logs the output of running items, so that the next leader can resume them. The progress of
@@ -40,7 +40,7 @@
 	var onLogged []func()
 	bytes := 0
 	for key, p := range d.progress {
-		if now-p.proposedAt < progressLogInterval {
+		if now-p.proposedAt < progressLogInterval || !p.logsParts() {
 			continue
 		}
 		if bytes >= maxProgressLogBytes {
@@ -53,7 +53,7 @@
 		}
 		bytes += len(text)
 		steps = append(steps, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_KeepProgress{
-			KeepProgress: &toucanhingev1.KeepProgressStep{Job: key.Job, Item: key.Index, After: after, Last: last, Text: text},
+			KeepProgress: &toucanhingev1.KeepProgressStep{Job: key.Job, Item: key.Index, After: after, Last: last, Text: text, Version: p.writtenBy()},
 		}})
 		onLogged = append(onLogged, func() { p.markLogged(last, len(text)) })
 	}
--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -5,13 +5,14 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/logs"
 	"toucanhinge.example/common/pkg/runner"
 	"toucanhinge.example/common/pkg/sse"
 	"toucanhinge.example/control/pkg/callproxy"
@@ -37,6 +38,8 @@
 	errEventGap   = errors.New("the stream skipped an event")
 	errStatus     = errors.New("unexpected status")
 	errWrongEvent = errors.New("the stream doesn't continue after the requested event")
+	// errOtherVersion means that two software versions would have written one text.
+	errOtherVersion = errors.New("the stream is of another software version than the text so far")
 )
 
 // outcomeKind is how a call of an item ended. The values are used as metric labels and in logs.
@@ -76,66 +79,6 @@
 	until clock.Millis
 }
 
-// progress is the output of an item's calls so far. The current call appends to it while the driver reads it.
-type progress struct {
-	mu   sync.Mutex
-	last uint64
-	text []byte
-	// loggedLast is the last logged event, and loggedBytes is the length of the logged text.
-	loggedLast  uint64
-	loggedBytes int
-	// proposedAt is when the driver last proposed to log progress. Only the goroutine of Driver.Run uses it.
-	proposedAt clock.Millis
-}
-
-// add appends an event. It returns an error if the event doesn't follow the last one, since a text with a
-// gap or from another stream would look complete.
-func (p *progress) add(event sse.Event) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !event.Numbered || event.ID <= p.last {
-		return errWrongEvent
-	}
-	if p.last > 0 && event.ID != p.last+1 {
-		return errEventGap
-	}
-	if p.last > 0 {
-		p.text = append(p.text, '\n')
-	}
-	p.text = append(p.text, event.Data...)
-	p.last = event.ID
-	return nil
-}
-
-func (p *progress) lastEvent() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.last
-}
-
-// unlogged returns the text that isn't logged yet, with the last logged event and the last event.
-func (p *progress) unlogged() (after, last uint64, text []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.loggedLast, p.last, slices.Clone(p.text[p.loggedBytes:])
-}
-
-// markLogged records that the text up to the event last is logged. bytes is the length of the text that was
-// logged since the previous call.
-func (p *progress) markLogged(last uint64, bytes int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.loggedLast = last
-	p.loggedBytes += bytes
-}
-
-// fullText returns the text from the first event on.
-func (p *progress) fullText() []byte {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.Clone(p.text)
-}
-
 // run is one call of an item.
 type run struct {
 	driver   *Driver
@@ -193,6 +136,11 @@
 		return outcome{run: r, kind: broken, err: err}
 	}
 	r.item = req.item.GetId()
+	if discarded := r.progress.prepare(r.target.GetVersion()); discarded > 0 {
+		r.driver.config.Metrics.Restarted.Inc()
+		level.Info(r.driver.config.Logger).Log(logs.KeyEvent, logs.EventItemRestarted, logs.KeyJob, r.key.Job, "index", r.key.Index,
+			"item", r.item, "discarded", discarded, "runner", r.target.GetId(), "software", r.target.GetVersion())
+	}
 	call := r.runnerCall(req)
 	if until := r.quarantinedUntil(call); until > 0 {
 		return outcome{run: r, kind: quarantined, until: until}
@@ -295,7 +243,7 @@
 			return broken, err
 		}
 		onEvent()
-		if err := r.progress.add(event); err != nil {
+		if err := r.progress.add(event, r.target.GetVersion()); err != nil {
 			return broken, err
 		}
 	}
--- a/control/pkg/dispatch/group.go
+++ b/control/pkg/dispatch/group.go
@@ -28,6 +28,8 @@
 	// fastOnly reports that only a fast free slot lets the item meet its deadline.
 	fastOnly bool
 	group    *group
+	// pinned reports that the item may start only at the software version that wrote its text.
+	pinned bool
 }
 
 // topItems collects the first items by rank, up to a limit. The last of them is on top of the heap,
@@ -77,15 +79,22 @@
 }
 
 // firstItems returns the waiting items that may get a slot, in order.
-func (m *Machine) firstItems(now clock.Millis, env Environment, order itemOrder, groups []*group) []rankedItem {
+func (m *Machine) firstItems(now clock.Millis, env Environment, order itemOrder, slots slotsByService, groups []*group) []rankedItem {
 	if m.sharesSlots(env) {
 		m.joinMembers(groups)
 	}
+	versions := versionsOf(env.Runners)
 	for _, i := range m.waiting {
-		if i.notBefore <= now {
-			g := i.submission.group
-			g.offer(rankedItem{item: i, rank: order.rank(i, g.paces.fastest), group: g})
+		if i.notBefore > now {
+			continue
 		}
+		g := i.submission.group
+		pinned := i.isPinned(now, versions, g.services)
+		if pinned && g.free > 0 && slots.freeAt(g.services, i.version) == 0 {
+			i.passOver(now)
+			continue
+		}
+		g.offer(rankedItem{item: i, rank: order.rank(i, g.paces.fastest), group: g, pinned: pinned})
 	}
 	var list []rankedItem
 	for _, g := range groups {
--- a/control/pkg/dispatch/machine.go
+++ b/control/pkg/dispatch/machine.go
@@ -42,6 +42,9 @@
 	// urgent items.
 	Team     string
 	Priority uint32
+	// Version is the software version that wrote the text so far, empty if there is none. Only runners of that version
+	// can continue it.
+	Version string
 }
 
 // Load is the other work on a runner: online requests, and items that other daemons still run.
@@ -113,6 +116,10 @@
 	pace      float64
 	// ranFor is how long the item ran before startedAt, in milliseconds at pace 1.
 	ranFor float64
+	// software is the software version of the runner where the item runs or ran last, and version that of its text.
+	software, version string
+	// passedOverSince is when the item first couldn't use a free slot for its software version, 0 if it could.
+	passedOverSince clock.Millis
 	// moved reports that the item has moved from a slow runner to a fast one.
 	moved bool
 	// notBefore is the earliest time of the next start.
@@ -163,7 +170,7 @@
 	}
 	m.sequence++
 	joined := m.joinSubmission(i)
-	added := &item{Item: i, sequence: m.sequence, team: joined.team, submission: joined, pace: 1}
+	added := &item{Item: i, sequence: m.sequence, team: joined.team, submission: joined, pace: 1, version: i.Version}
 	m.items[i.Key] = added
 	m.addWaiting(added)
 	m.nextExpiry = min(m.nextExpiry, i.Expires)
@@ -278,6 +285,10 @@
 		delete(m.running, i.runner)
 	}
 	i.runner = ""
+	if i.version == "" {
+		// The call has probably brought events; SetVersion corrects it if it hasn't.
+		i.version = i.software
+	}
 	i.team.running--
 	i.submission.running--
 	m.addWaiting(i)
--- a/control/pkg/dispatch/move.go
+++ b/control/pkg/dispatch/move.go
@@ -35,7 +35,8 @@
 		if !actions.mayStart(env) {
 			return
 		}
-		c := slots.best(i.group.services)
+		// Only a runner of the same software version can continue the text.
+		c := slots.best(i.group.services, i.software)
 		if c == nil || !i.gainsBy(now, order.runTimes.remaining(now, i.item), c.pace) {
 			continue
 		}
--- a/control/pkg/dispatch/pace.go
+++ b/control/pkg/dispatch/pace.go
@@ -105,7 +105,7 @@
 // assign records that the item runs on a runner from now on.
 func (m *Machine) assign(now clock.Millis, i *item, r *toucanhingev1.Runner, pace float64) {
 	m.removeWaiting(i)
-	i.runner, i.startedAt, i.pace = r.GetId(), now, pace
+	i.runner, i.startedAt, i.pace, i.software = r.GetId(), now, pace, r.GetVersion()
 	i.team.running++
 	i.submission.running++
 	m.running[i.runner] = append(m.running[i.runner], i)
--- a/control/pkg/systemstate/snapshot.go
+++ b/control/pkg/systemstate/snapshot.go
@@ -52,7 +52,7 @@
 		item := &j.Items[i]
 		out := &toucanhingev1.SavedBatchItem{
 			Id: item.ID, Tokens: item.Tokens, Failures: item.Failures, Completed: item.Completed,
-			Request: uint64(item.Request), Last: item.LastEvent,
+			Request: uint64(item.Request), Last: item.LastEvent, Version: item.Version,
 		}
 		for _, ref := range item.Parts {
 			out.Parts = append(out.Parts, uint64(ref))
@@ -92,7 +92,7 @@
 	for _, item := range saved.GetItems() {
 		in := Item{
 			ID: item.GetId(), Tokens: item.GetTokens(), Failures: item.GetFailures(), Completed: item.GetCompleted(),
-			Request: segment.Ref(item.GetRequest()), LastEvent: item.GetLast(),
+			Request: segment.Ref(item.GetRequest()), LastEvent: item.GetLast(), Version: item.GetVersion(),
 		}
 		for _, ref := range item.GetParts() {
 			in.Parts = append(in.Parts, segment.Ref(ref))
--- a/control/pkg/systemstate/state.go
+++ b/control/pkg/systemstate/state.go
@@ -83,9 +83,10 @@
 	// Request refers to the record of the JobItem.
 	Request segment.Ref
 	// Parts refers to the records of the text so far, in order. LastEvent is the number of the
-	// last event in them.
+	// last event in them, and Version the software version that wrote them.
 	Parts     []segment.Ref
 	LastEvent uint64
+	Version   string
 }
 
 // Open reports whether items of the job may still be run.
@@ -325,6 +326,9 @@
 		return
 	}
 	item.Parts = append(item.Parts, s.config.Append(step.GetText()))
+	if item.LastEvent == 0 {
+		item.Version = step.GetVersion()
+	}
 	item.LastEvent = step.GetLast()
 }
 
@@ -333,7 +337,7 @@
 	for _, ref := range item.Parts {
 		s.release(ref)
 	}
-	item.Parts, item.LastEvent = nil, 0
+	item.Parts, item.LastEvent, item.Version = nil, 0, ""
 }
 
 func (s *State) countFailure(step *toucanhingev1.CountFailureStep) {
