Keep a pausing stream if only another software version is free

An answer whose runner paused was cut off although the runner would have gone on: the timer looked for a free slot at any software version, ended the call, and the exchange then found no other runner of the stream's version. Found by reading all callers of the placement.

Besides, the record of a stream is sent after the first event has gone to the caller, and no record is sent for a caller that names no attempt when it takes a stream up.

--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -77,7 +77,7 @@
 	resume      bool
 	lastEventID uint64
 	events      int
-	// origin is where the stream began; its service is empty before the first event. originSent is set once it is recorded.
+	// origin is where the stream began; its service is empty before the first event. originSent is set once it was recorded.
 	origin     streamorigin.Origin
 	originSent bool
 
--- a/gateway/pkg/forward/origin.go
+++ b/gateway/pkg/forward/origin.go
@@ -91,13 +91,14 @@
 // takesUpStream reports whether the caller takes up a stream that an earlier attempt began.
 func (e *exchange) takesUpStream() bool { return e.request.Resume && e.route.Streams() }
 
-// originKey returns the key of the attempt in which the caller received the first event.
-func (e *exchange) originKey() streamorigin.Key {
+// originKey returns the key of the attempt in which the caller received the first event; named is false if the caller
+// gave none.
+func (e *exchange) originKey() (key streamorigin.Key, named bool) {
 	attempt := e.request.ID
 	if e.takesUpStream() {
 		attempt = e.request.Resumes
 	}
-	return streamorigin.KeyOf(e.auth.Team.GetName(), routeID(e.route), attempt)
+	return streamorigin.KeyOf(e.auth.Team.GetName(), routeID(e.route), attempt), attempt != ""
 }
 
 // resolveOrigin determines the service and the software version at which the caller's stream goes on. Nothing else may
@@ -108,8 +109,8 @@
 	}
 	startedAt, by := e.now(), knownByRecord
 	var finding digest.OriginFinding
-	if e.request.Resumes != "" {
-		finding = e.server.config.Exchange.FindOrigin(ctx, e.originKey())
+	if key, named := e.originKey(); named {
+		finding = e.server.config.Exchange.FindOrigin(ctx, key)
 	}
 	if !finding.Found {
 		by = knownByOnlyVersion
@@ -132,16 +133,15 @@
 	return nil
 }
 
-// setOrigin records at the first event where the stream began.
-func (e *exchange) setOrigin(version string) {
-	if e.origin.Service == "" {
-		e.origin = streamorigin.Origin{Service: e.service, Version: version}
-	}
-	if e.originSent || !e.route.Resumable || e.request.ID == "" {
+// recordOrigin records where the stream began, after its first event was sent to the caller.
+func (e *exchange) recordOrigin() {
+	if e.originSent || !e.route.Resumable {
 		return
 	}
 	e.originSent = true
-	e.server.config.Exchange.RecordOrigin(e.originKey(), e.origin, e.deadline-e.now()+originSlack)
+	if key, named := e.originKey(); named {
+		e.server.config.Exchange.RecordOrigin(key, e.origin, e.deadline-e.now()+originSlack)
+	}
 }
 
 // noVersionRefusal refuses to continue a stream because no runner of its software version can be used.
--- a/gateway/pkg/forward/software_version_test.go
+++ b/gateway/pkg/forward/software_version_test.go
@@ -34,3 +34,14 @@
 		require.NotEqual(t, sent[0].Runner.GetId(), sent[1].Runner.GetId())
 	}
 }
+
+// Guards against a stream that is cut off because of a pause: only a runner of another software version has a free slot, and
+// the call that pauses is the only one that can bring the next event.
+func TestPausingStreamIsKeptIfOnlyAnotherVersionIsFree(t *testing.T) {
+	f := start(t, reply{text: "id: 1\ndata: a\n\n", hangs: true}, reply{text: "id: 2\ndata: b\n\n"})
+	f.setVersions(map[string]string{"a": "v1", "b": "v2"})
+	_, text, _, err := f.get("/resumable/x", 600)
+	require.Error(t, err, "the answer ends with the caller's time")
+	require.Equal(t, "id: 1\ndata: a\n\n", text)
+	require.Len(t, f.sent(), 1, "the call was ended although no other runner can continue the stream")
+}
--- a/gateway/pkg/forward/stream.go
+++ b/gateway/pkg/forward/stream.go
@@ -16,6 +16,7 @@
 	"toucanhinge.example/common/pkg/pace"
 	"toucanhinge.example/common/pkg/runner"
 	"toucanhinge.example/common/pkg/sse"
+	"toucanhinge.example/common/pkg/streamorigin"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
@@ -55,7 +56,7 @@
 		if err != nil {
 			return err
 		}
-		timer.reset(e.gapTimeout(r))
+		timer.reset(e.gapTimeout(r), r.GetVersion())
 		watch.RecordEvent()
 		if event.Numbered {
 			if e.resume && event.ID != e.lastEventID+1 {
@@ -69,7 +70,9 @@
 				e.countContinuation(r)
 			}
 		}
-		e.setOrigin(r.GetVersion())
+		if e.origin.Service == "" {
+			e.origin = streamorigin.Origin{Service: e.service, Version: r.GetVersion()}
+		}
 		if e.firstEventAt == 0 {
 			e.firstEventAt = e.now()
 		}
@@ -82,6 +85,7 @@
 		if err := flusher.Flush(); err != nil {
 			return fmt.Errorf("%w: %w", errCallerLeft, err)
 		}
+		e.recordOrigin()
 	}
 }
 
@@ -120,12 +124,13 @@
 // probably only busy. Canceling calls that wait in the runner's queue while no slot was free elsewhere
 // failed one request in ten at three times the usual load.
 func (e *exchange) startEventTimer(cancel func()) *eventTimer {
-	t := &eventTimer{}
+	t := &eventTimer{version: e.origin.Version}
 	if !e.route.Streams() || !e.route.Resumable || e.runs+1 >= int(e.route.MaxAttempts) {
 		return t
 	}
 	req := e.placementRequest()
-	t.start(e.firstEventTimeout(), func() bool {
+	t.start(e.firstEventTimeout(), func(version string) bool {
+		req.Version = version
 		choice, found := e.server.selectRunner(req)
 		if !found || choice.Wait > 0 || slices.Contains(req.Tried, choice.Runner.GetId()) {
 			return false
@@ -142,11 +147,13 @@
 	timer   *time.Timer
 	stopped bool
 	fired   bool
+	// version is the software version at which the stream may continue; empty for any.
+	version string
 }
 
-// start starts the timer. When it fires, it calls tryCancel, which reports whether it canceled the call;
-// if not, the timer calls it again after minEventTimeout.
-func (t *eventTimer) start(timeout clock.Millis, tryCancel func() bool) {
+// start starts the timer. When it fires, it calls tryCancel with the version, which reports whether it canceled the
+// call; if not, the timer calls it again after minEventTimeout.
+func (t *eventTimer) start(timeout clock.Millis, tryCancel func(version string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(timeout.Duration(), func() {
@@ -155,15 +162,17 @@
 		if t.stopped {
 			return
 		}
-		if t.fired = tryCancel(); !t.fired {
+		if t.fired = tryCancel(t.version); !t.fired {
 			t.timer.Reset(minEventTimeout.Duration())
 		}
 	})
 }
 
-func (t *eventTimer) reset(timeout clock.Millis) {
+// reset restarts the timer after an event of a runner of a software version.
+func (t *eventTimer) reset(timeout clock.Millis, version string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.version = version
 	if t.timer != nil && !t.fired {
 		t.timer.Reset(timeout.Duration())
 	}
