Continue an answer with its text only at an engine of the same software

On sites with sidecars, an answer whose endpoint is gone is continued by another endpoint with the text so far: its engine may have other software, so callers would get an answer of two versions.

A sidecar names the software of its engine (setting engine.software) in the loads that it reports, and the router selects only an endpoint with the software that began the answer, also as a last resort. Otherwise the answer ends with an error, as when no endpoint is left.

--- a/gateway/pkg/app/broken_responses_test.go
+++ b/gateway/pkg/app/broken_responses_test.go
@@ -19,7 +19,7 @@
 func TestStreamIsCancelledWhenCallerStopsReading(t *testing.T) {
 	sidecar := newSidecar(t, "e1", service)
 	sidecar.run = func(ctx context.Context, r *toucanhingev1.RunRequest, out *connect.ServerStream[toucanhingev1.Frame]) error {
-		b := frameBuilder{r}
+		b := frameBuilder{request: r}
 		if err := out.Send(b.head(200, "text/event-stream")); err != nil {
 			return err
 		}
@@ -53,7 +53,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			sidecar := newSidecar(t, "p1", plainName)
 			sidecar.run = func(_ context.Context, r *toucanhingev1.RunRequest, out *connect.ServerStream[toucanhingev1.Frame]) error {
-				b := frameBuilder{r}
+				b := frameBuilder{request: r}
 				half := strings.Repeat("x", 800)
 				if err := sendFrames(out, b.head(200, "text/plain"), b.data(1, half), b.data(2, half)); err != nil || s.err != nil {
 					return s.err
--- a/gateway/pkg/app/endpoint_faults_test.go
+++ b/gateway/pkg/app/endpoint_faults_test.go
@@ -84,7 +84,7 @@
 	for _, f := range sidecars {
 		f.run = func(ctx context.Context, r *toucanhingev1.RunRequest, out *connect.ServerStream[toucanhingev1.Frame]) error {
 			index := min(int(r.GetAttempt()), len(steps)) - 1
-			return steps[index](ctx, frameBuilder{r}, out)
+			return steps[index](ctx, frameBuilder{request: r, software: f.software}, out)
 		}
 	}
 }
@@ -344,7 +344,7 @@
 	respond := sidecar.respondWith("all is well")
 	sidecar.run = func(ctx context.Context, r *toucanhingev1.RunRequest, out *connect.ServerStream[toucanhingev1.Frame]) error {
 		if r.GetBudgetMs() <= 5_000 {
-			return out.Send(frameBuilder{r}.refusal("deadline", toucanhingev1.Ran_RAN_NO, 400))
+			return out.Send(frameBuilder{request: r}.refusal("deadline", toucanhingev1.Ran_RAN_NO, 400))
 		}
 		return respond(ctx, r, out)
 	}
@@ -374,3 +374,25 @@
 		require.Equal(t, "deadline", r.refusal(t).Error.Reason)
 	}
 }
+
+// Guards against an answer of which engines of two software versions wrote a part each: it must end with an error.
+func TestAnswerIsNotContinuedByOtherSoftware(t *testing.T) {
+	for _, c := range []struct {
+		name, first, second string
+		continued           bool
+	}{{"same software", "v1", "v1", true}, {"other software", "v1", "v2", false}, {"unknown software", "v1", "", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := newSidecar(t, "e1", service), newSidecar(t, "e2", service)
+			runSteps([]step{hangStep(dataFrames("first", 1, 2)), sendStep(dataFrames("second", 1), nil, endFrame(1))}, a, b)
+			a.software, b.software = c.first, c.second
+			for _, f := range []*fakeSidecar{a, b} {
+				f.load = frameBuilder{software: f.software}.load
+			}
+			g := startGateway(t, nil, a, b)
+			// The gateway must know the loads of both.
+			time.Sleep(300 * time.Millisecond)
+			_, done := g.send(http.MethodPost, chatPath, streamBody).joinedText()
+			require.Equal(t, c.continued, done)
+		})
+	}
+}
--- a/gateway/pkg/app/fakes_test.go
+++ b/gateway/pkg/app/fakes_test.go
@@ -39,11 +39,13 @@
 // fakeSidecar handles requests with a configurable function and records the requests it receives.
 type fakeSidecar struct {
 	toucanhingev1connect.UnimplementedEndpointServiceHandler
-	name      string
-	service   string
-	server    *web.Server
-	run       func(context.Context, *toucanhingev1.RunRequest, *connect.ServerStream[toucanhingev1.Frame]) error
-	load      func() *toucanhingev1.Load
+	name    string
+	service string
+	server  *web.Server
+	run     func(context.Context, *toucanhingev1.RunRequest, *connect.ServerStream[toucanhingev1.Frame]) error
+	load    func() *toucanhingev1.Load
+	// software is the software version that the loads in frames name.
+	software  string
 	mu        sync.Mutex
 	received  []*toucanhingev1.RunRequest
 	cancelled []*toucanhingev1.CancelRequest
--- a/gateway/pkg/app/frames_test.go
+++ b/gateway/pkg/app/frames_test.go
@@ -15,6 +15,14 @@
 // frameBuilder builds the frames of one attempt.
 type frameBuilder struct {
 	request *toucanhingev1.RunRequest
+	// software is the software version that the frames' loads name.
+	software string
+}
+
+func (f frameBuilder) load() *toucanhingev1.Load {
+	load := idleLoad()
+	load.Software = f.software
+	return load
 }
 
 func (f frameBuilder) frame() *toucanhingev1.Frame {
@@ -26,7 +34,7 @@
 	frame.Part = &toucanhingev1.Frame_Head{Head: &toucanhingev1.Head{
 		Status: status, Headers: []*toucanhingev1.Header{{Name: "content-type", Value: contentType}},
 	}}
-	frame.Load = idleLoad()
+	frame.Load = f.load()
 	return frame
 }
 
@@ -40,14 +48,14 @@
 func (f frameBuilder) end(count uint64) *toucanhingev1.Frame {
 	frame := f.frame()
 	frame.Part = &toucanhingev1.Frame_End{End: &toucanhingev1.End{Frames: count, Ran: toucanhingev1.Ran_RAN_YES}}
-	frame.Load = idleLoad()
+	frame.Load = f.load()
 	return frame
 }
 
 func (f frameBuilder) refusal(reason string, ran toucanhingev1.Ran, retry int64) *toucanhingev1.Frame {
 	frame := f.frame()
 	frame.Part = &toucanhingev1.Frame_Refusal{Refusal: &toucanhingev1.Refusal{Reason: reason, Ran: ran, RetryMs: retry}}
-	frame.Load = idleLoad()
+	frame.Load = f.load()
 	return frame
 }
 
@@ -69,7 +77,7 @@
 // respondWith returns a run function that responds with the given pieces of text, as events or as one body.
 func (f *fakeSidecar) respondWith(texts ...string) runFunc {
 	return func(_ context.Context, r *toucanhingev1.RunRequest, out *connect.ServerStream[toucanhingev1.Frame]) error {
-		b := frameBuilder{r}
+		b := frameBuilder{request: r}
 		if !r.GetStream() {
 			return sendFrames(out, b.head(200, "application/json"), b.data(1, `{"echo":`), b.data(2, string(orNull(r.GetBody()))+"}"), b.end(2))
 		}
--- a/gateway/pkg/app/gateway_bench_test.go
+++ b/gateway/pkg/app/gateway_bench_test.go
@@ -21,7 +21,7 @@
 // streamTokens returns a run function that streams the given number of tokens without pauses.
 func streamTokens(tokens int) runFunc {
 	return func(_ context.Context, r *toucanhingev1.RunRequest, out *connect.ServerStream[toucanhingev1.Frame]) error {
-		b := frameBuilder{r}
+		b := frameBuilder{request: r}
 		if err := out.Send(b.head(200, "text/event-stream")); err != nil {
 			return err
 		}
--- a/gateway/pkg/app/shutdown_test.go
+++ b/gateway/pkg/app/shutdown_test.go
@@ -64,7 +64,7 @@
 	sidecar := newSidecar(t, "e1", service)
 	started, proceed := make(chan struct{}), make(chan struct{})
 	sidecar.run = func(_ context.Context, r *toucanhingev1.RunRequest, out *connect.ServerStream[toucanhingev1.Frame]) error {
-		b := frameBuilder{r}
+		b := frameBuilder{request: r}
 		if !r.GetStream() {
 			return sidecar.respondWith()(context.Background(), r, out)
 		}
--- a/gateway/pkg/endpoint/directory.go
+++ b/gateway/pkg/endpoint/directory.go
@@ -143,7 +143,7 @@
 	return route.Load{
 		Running: int(load.GetRunning()), Queued: int(load.GetQueued()), Slots: int(load.GetSlots()),
 		Foreign: int(load.GetForeign()), Wait: clock.Millis(load.GetWaitMs()),
-		Draining: load.GetLeaving(), Healthy: load.GetHealthy(),
+		Draining: load.GetLeaving(), Healthy: load.GetHealthy(), Software: load.GetSoftware(),
 	}
 }
 
--- a/gateway/pkg/online/answer.go
+++ b/gateway/pkg/online/answer.go
@@ -32,6 +32,9 @@
 	}
 	e.observeChunk()
 	e.writeHead(unknownLength)
+	if !e.begun {
+		e.begun, e.software = true, e.choice.Software
+	}
 	if err := e.sink.Data(chunk); err != nil {
 		return attempt.Event{Kind: attempt.EventCallerGone}
 	}
--- a/gateway/pkg/online/exchange.go
+++ b/gateway/pkg/online/exchange.go
@@ -56,6 +56,9 @@
 	headSent bool
 	buffer   []byte
 	partSent bool
+	// software is the version of the software that began the answer; begun is true once the caller has a part of it.
+	software string
+	begun    bool
 	done     bool
 }
 
@@ -160,6 +163,8 @@
 		DataCentres: e.request.DataCentres,
 		Prefix:      e.request.Prefix,
 		Tried:       e.machine.Tried(),
+		Continues:   e.begun,
+		Software:    e.software,
 		Budget:      e.request.Deadline - e.executor.config.Clock.Now(),
 		Idempotent:  e.request.Idempotent,
 	})
@@ -251,6 +256,7 @@
 		return event
 	}
 	if load := frame.GetLoad(); load != nil {
+		e.choice.Software = load.GetSoftware()
 		e.executor.config.Directory.RecordLoad(e.choice.Endpoint, load)
 	}
 	return event
--- a/gateway/pkg/route/choose.go
+++ b/gateway/pkg/route/choose.go
@@ -18,6 +18,10 @@
 	Tried []string
 	// Budget is the time until the request's deadline.
 	Budget clock.Millis
+	// Continues is true when the request continues an answer that an engine with this Software began. No other
+	// endpoint is selected.
+	Continues bool
+	Software  string
 	// Idempotent is true when the request may probe an endpoint after its ejection.
 	Idempotent bool
 }
@@ -26,6 +30,8 @@
 type Choice struct {
 	Endpoint string
 	Address  string
+	// Software is the version of the endpoint's software as last reported.
+	Software string
 	// Rule names the rule that selected the endpoint. It is written to the event log.
 	Rule string
 	// Reason and RetryAfter (a duration) are set when no endpoint was selected.
@@ -101,7 +107,7 @@
 }
 
 func newChoice(s *endpointState, rule string) Choice {
-	return Choice{Endpoint: s.Name, Address: s.Address, Rule: rule}
+	return Choice{Endpoint: s.Name, Address: s.Address, Software: s.load.Software, Rule: rule}
 }
 
 // eligible returns the usable endpoints that the request allows.
@@ -120,6 +126,9 @@
 	if slices.Contains(q.Tried, s.Name) {
 		return false
 	}
+	if q.Continues && s.load.Software != q.Software {
+		return false
+	}
 	return len(q.DataCentres) == 0 || slices.Contains(q.DataCentres, s.DataCentre)
 }
 
--- a/gateway/pkg/route/endpoint.go
+++ b/gateway/pkg/route/endpoint.go
@@ -26,6 +26,8 @@
 	Wait     clock.Millis
 	Draining bool
 	Healthy  bool
+	// Software is the version of the engine's software, empty if unknown.
+	Software string
 }
 
 // Outcome classifies how an attempt at an endpoint ended.
--- a/sidecar/pkg/app/providers.go
+++ b/sidecar/pkg/app/providers.go
@@ -108,7 +108,7 @@
 		Clock: c, Dispatcher: d, Engine: e, Endpoint: s.Name, Incarnation: uint64(i), Model: s.Kind == config.KindModel,
 		MaxAnswerBytes: s.Online.MaxAnswerBytes, MaxRetainedBytes: s.Online.MaxRetainedBytes, Retention: clock.Millis(s.Online.RetentionMS),
 		Dedup:      plain.Config{MaxRequests: s.Online.MaxDedupRequests, Retention: clock.Millis(s.Online.DedupRetentionMS)},
-		Load:       func() *toucanhingev1.Load { return newLoad(d.Snapshot(), s.Engine.Slots) },
+		Load:       func() *toucanhingev1.Load { return newLoad(d.Snapshot(), s.Engine.Slots, s.Engine.Software) },
 		TeamWeight: w.teamWeight,
 		OnRefused: func(requestID string, reason admit.Reason, ran toucanhingev1.Ran) {
 			if reason == entry.ReasonUnreachable {
@@ -121,10 +121,11 @@
 	})
 }
 
-func newLoad(s admit.Snapshot, slots int) *toucanhingev1.Load {
+func newLoad(s admit.Snapshot, slots int, software string) *toucanhingev1.Load {
 	return &toucanhingev1.Load{
 		Running: uint32(s.Online), Queued: uint32(s.Queued), Slots: uint32(slots), Foreign: uint32(s.ForeignSlots),
 		Batch: uint32(s.Batch), WaitMs: uint32(s.ExpectedWait), Leaving: s.Draining, Healthy: s.CloseReason == "",
+		Software: software,
 	}
 }
 
--- a/sidecar/pkg/config/config.go
+++ b/sidecar/pkg/config/config.go
@@ -42,6 +42,7 @@
 	PollMS      int64  `toml:"poll_ms" doc:"interval of load report polls; for a plain service, of connection checks"`
 	FailedPolls int    `toml:"failed_polls" doc:"consecutive failed polls after which the engine or plain service counts as unhealthy"`
 	RecheckMS   int64  `toml:"recheck_ms" doc:"interval of reads of the order that an idle engine holds"`
+	Software    string `toml:"software" doc:"version of the engine's software; an answer that breaks off is continued only by an engine with the same one, so engines of different software in one service must name theirs"`
 	Orders      bool   `toml:"orders" doc:"false for an engine that does not accept orders"`
 }
 
