--- a/common/pkg/digest/crashes.go
+++ b/common/pkg/digest/crashes.go
@@ -12,6 +12,7 @@
 
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/crashes"
+	"toucanhinge.example/common/pkg/hash128"
 	"toucanhinge.example/common/pkg/logs"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
@@ -341,6 +342,6 @@
 }
 
 func parseFingerprint(data []byte) (crashes.Fingerprint, bool) {
-	var fingerprint crashes.Fingerprint
-	return fingerprint, copy(fingerprint[:], data) == len(fingerprint) && len(data) == len(fingerprint)
+	sum, ok := hash128.Parse(data)
+	return crashes.Fingerprint(sum), ok
 }
--- a/common/pkg/streamorigin/origin.go
+++ b/common/pkg/streamorigin/origin.go
@@ -9,37 +9,24 @@
 package streamorigin
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
 	"encoding/hex"
+
+	"toucanhinge.example/common/pkg/hash128"
 )
 
 // Key identifies the attempt of a caller that received the first event of a stream.
-type Key [16]byte
+type Key hash128.Sum
 
 // KeyOf returns the key of an attempt. Team and route are part of it, so that nobody can take up, or learn of, a
 // stream of another team or route.
 func KeyOf(team, route, attempt string) Key {
-	hash := sha256.New()
-	for _, part := range []string{team, route, attempt} {
-		// The length makes the boundaries between parts unambiguous.
-		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = hash.Write(length[:])
-		_, _ = hash.Write([]byte(part))
-	}
-	var key Key
-	copy(key[:], hash.Sum(nil))
-	return key
+	return Key(hash128.Of([]byte(team), []byte(route), []byte(attempt)))
 }
 
 // ParseKey returns the key that was encoded as bytes.
 func ParseKey(data []byte) (key Key, ok bool) {
-	if len(data) != len(key) {
-		return Key{}, false
-	}
-	copy(key[:], data)
-	return key, true
+	sum, ok := hash128.Parse(data)
+	return Key(sum), ok
 }
 
 // String returns the key in hexadecimal, as in logs.
--- a/gateway/pkg/placement/version_test.go
+++ b/gateway/pkg/placement/version_test.go
@@ -13,8 +13,10 @@
 func TestSelectKeepsSoftwareVersion(t *testing.T) {
 	list := func() []*toucanhingev1.Runner {
 		return []*toucanhingev1.Runner{
-			{Id: "a", Service: "llm", DataCentre: "there", Slots: 2, Version: "v1"}, {Id: "b", Service: "llm", DataCentre: "here", Slots: 8, Version: "v2"},
-			{Id: "c", Service: "llm", DataCentre: "there", Slots: 2, Version: "v1"}, {Id: "d", Service: "other", DataCentre: "here", Slots: 8, Version: "v1"},
+			{Id: "a", Service: "llm", DataCentre: "there", Slots: 2, Version: "v1"},
+			{Id: "b", Service: "llm", DataCentre: "here", Slots: 8, Version: "v2"},
+			{Id: "c", Service: "llm", DataCentre: "there", Slots: 2, Version: "v1"},
+			{Id: "d", Service: "other", DataCentre: "here", Slots: 8, Version: "v1"},
 		}
 	}
 	for _, c := range []struct {
