Check each call's software version before its events are forwarded

The selection of a runner keeps a stream at its version. If it ever failed to, for example because a runner names no version, the caller would again get events of two: the call is now given up before its first event reaches the caller (TestEventsOfAnotherVersionAre- NotForwarded: without the check both events arrive). A label of a metric that could only have one value is gone, and a stream of a version that the gateway doesn't know yet is told when to come back.

--- a/common/pkg/streamorigin/history.go
+++ b/common/pkg/streamorigin/history.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// Knows reports whether a service has, or lately had, runners of a software version.
+func (h *History) Knows(origin Origin) bool {
+	v := h.services[origin.Service]
+	if v == nil {
+		return false
+	}
+	_, ended := v.endedAt[origin.Version]
+	return ended || v.current[origin.Version]
+}
+
 // Only returns the version that all runners of a service have had for at least the given time.
 func (h *History) Only(now clock.Millis, service string, span clock.Millis) (version string, ok bool) {
 	v := h.services[service]
--- a/common/pkg/streamorigin/history_test.go
+++ b/common/pkg/streamorigin/history_test.go
@@ -51,3 +51,15 @@
 		})
 	}
 }
+
+// Guards against a caller that is told that its stream's version is gone, when this gateway doesn't know it yet.
+func TestKnowsVersionsThatWereListed(t *testing.T) {
+	h := NewHistory()
+	h.Update(0, []*toucanhingev1.Runner{{Service: "llm", Version: "v1"}})
+	h.Update(1, []*toucanhingev1.Runner{{Service: "llm", Version: "v2"}})
+	for origin, known := range map[Origin]bool{
+		{Service: "llm", Version: "v1"}: true, {Service: "llm", Version: "v2"}: true, {Service: "llm", Version: "v3"}: false, {Service: "other", Version: "v1"}: false,
+	} {
+		require.Equal(t, known, h.Knows(origin), origin)
+	}
+}
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -49,6 +49,7 @@
 var (
 	errEventTimeout = errors.New("call runner: no event within the timeout")
 	errMissingEvent = errors.New("read stream: an event is missing")
+	errOtherVersion = errors.New("read stream: it began at another software version")
 	errCallerLeft   = errors.New("write answer: the caller disconnected")
 	errRunnerFailed = errors.New("call runner: unexpected status")
 )
--- a/gateway/pkg/forward/origin.go
+++ b/gateway/pkg/forward/origin.go
@@ -13,6 +13,7 @@
 	"toucanhinge.example/common/pkg/logs"
 	"toucanhinge.example/common/pkg/routing"
 	"toucanhinge.example/common/pkg/streamorigin"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
 const (
@@ -27,8 +28,8 @@
 	// maxResumeWait is the longest expected wait for a slot with which a stream is taken up: callers give up after
 	// two seconds without an event.
 	maxResumeWait clock.Millis = 1_500
-	// versionRetryDelay is how soon a caller may take up its stream again if all runners of its software version are
-	// blocked at the moment, for example because they restart.
+	// versionRetryDelay is how soon a caller may take up its stream again if no runner of its software version can be used
+	// at the moment, for example because they restart.
 	versionRetryDelay = 500 * time.Millisecond
 )
 
@@ -147,20 +148,21 @@
 // noVersionRefusal refuses to continue a stream because no runner of its software version can be used.
 func (e *exchange) noVersionRefusal() *Refusal {
 	refusal := &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoVersion}
-	if e.server.hasVersion(e.origin) {
+	if e.server.mayServe(e.origin) {
 		refusal.RetryAfter = versionRetryDelay
 	}
 	return refusal
 }
 
-// hasVersion reports whether any runner of a software version is listed that isn't about to leave.
-func (s *Server) hasVersion(origin streamorigin.Origin) bool {
+// mayServe reports whether runners of a software version may soon be usable: some are listed that aren't about to leave,
+// or the version is so new that this gateway doesn't know it.
+func (s *Server) mayServe(origin streamorigin.Origin) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, r := range s.runners {
-		if r.GetService() == origin.Service && r.GetVersion() == origin.Version && !r.GetLeaving() {
-			return true
-		}
+	if !s.versions.Knows(origin) {
+		return true
 	}
-	return false
+	return slices.ContainsFunc(s.runners, func(r *toucanhingev1.Runner) bool {
+		return r.GetService() == origin.Service && r.GetVersion() == origin.Version && !r.GetLeaving()
+	})
 }
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -115,8 +115,8 @@
 				Name: "toucanhinge_requests_retried_total", Help: "Requests that were retried at another runner, by reason.",
 			}, []string{"reason"}),
 			continued: factory.NewCounterVec(prometheus.CounterOpts{
-				Name: "toucanhinge_streams_continued_total", Help: "Streams continued after a break, by whom and at which software version.",
-			}, []string{"by", "version"}),
+				Name: "toucanhinge_streams_continued_total", Help: "Streams continued after a break, by whom.",
+			}, []string{"by"}),
 			takenUp: factory.NewCounterVec(prometheus.CounterOpts{
 				Name: "toucanhinge_streams_taken_up_total", Help: "Streams that callers take up, by how their origin is known.",
 			}, []string{"known_by"}),
--- a/gateway/pkg/forward/software_version_test.go
+++ b/gateway/pkg/forward/software_version_test.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"toucanhinge.example/common/pkg/runner"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
@@ -45,3 +47,18 @@
 	require.Equal(t, "id: 1\ndata: a\n\n", text)
 	require.Len(t, f.sent(), 1, "the call was ended although no other runner can continue the stream")
 }
+
+// Guards against events of another software version that reach the caller if the selection of a runner fails to regard it.
+func TestEventsOfAnotherVersionAreNotForwarded(t *testing.T) {
+	f := start(t, reply{text: "id: 1\ndata: a\n\n", fails: true}, reply{text: "id: 2\ndata: b\n\n"})
+	// A runner whose version is unknown binds the selection to no version.
+	f.setVersions(map[string]string{"a": ""})
+	f.server.config.Client.Open = func(ctx context.Context, call runner.Call) (*runner.Answer, error) {
+		answer, err := f.open(ctx, call)
+		f.setVersions(map[string]string{"b": "v2"})
+		return answer, err
+	}
+	_, text, _, err := f.get("/resumable/x", 0)
+	require.Error(t, err)
+	require.Equal(t, "id: 1\ndata: a\n\n", text)
+}
--- a/gateway/pkg/forward/stream.go
+++ b/gateway/pkg/forward/stream.go
@@ -35,16 +35,12 @@
 	minEventTimeout clock.Millis = 100
 )
 
-// Values of the metric label for the software version at which a stream continues: the one that began it, or another
-// one, which must not happen.
-const (
-	continuedSame  = "same"
-	continuedOther = "other"
-)
-
 // stream forwards complete events, one at a time. An event that was received in part never reaches the
 // caller, so that the stream can continue at another runner after the last complete event.
 func (e *exchange) stream(r *toucanhingev1.Runner, answer *runner.Answer, timer *eventTimer, watch *digest.Watch) error {
+	if e.origin.Service != "" && r.GetVersion() != e.origin.Version {
+		return errOtherVersion
+	}
 	reader := sse.NewReader(answer.Body, eventBuffer)
 	flusher := http.NewResponseController(e.w)
 	for {
@@ -67,7 +63,7 @@
 		if e.callFirstEventAt == 0 {
 			e.callFirstEventAt = e.now()
 			if e.origin.Service != "" {
-				e.countContinuation(r)
+				e.countContinuation()
 			}
 		}
 		if e.origin.Service == "" {
@@ -89,17 +85,13 @@
 	}
 }
 
-// countContinuation counts a call that has sent an event by whether it continues a stream at the software version that
-// began it.
-func (e *exchange) countContinuation(r *toucanhingev1.Runner) {
-	by, version := "gateway", continuedSame
+// countContinuation counts a call that has sent an event and continues a stream.
+func (e *exchange) countContinuation() {
+	by := "gateway"
 	if e.events == 0 {
 		by = "caller"
 	}
-	if e.origin.Version != r.GetVersion() {
-		version = continuedOther
-	}
-	e.server.metrics.continued.WithLabelValues(by, version).Inc()
+	e.server.metrics.continued.WithLabelValues(by).Inc()
 }
 
 // gapTimeout returns the maximum time between two events of a stream from a runner.
