Let a stream go on at a runner that has just begun to leave

If no other runner of its version can be used, a stream may go on at one that this gateway has known as leaving for less than a third of the time for which requests may be sent there; new requests never do. A runner that was leaving when it became known isn't used, since it may have been for long. TestStreamContinuesAtLeavingRunnerAsLastResort: without the cases nothing is selected.

--- a/gateway/pkg/forward/origin.go
+++ b/gateway/pkg/forward/origin.go
@@ -28,6 +28,9 @@
 	// maxResumeWait is the longest expected wait for a slot with which a stream is taken up: callers give up after
 	// two seconds without an event.
 	maxResumeWait clock.Millis = 1_500
+	// leavingGraceShare is the part of DrainNoticeLimit for which streams may continue at a runner that leaves. The rest is
+	// for the time until this gateway knows that it leaves.
+	leavingGraceShare = 0.33
 	// versionRetryDelay is how soon a caller may take up its stream again if no runner of its software version can be used
 	// at the moment, for example because they restart.
 	versionRetryDelay = 500 * time.Millisecond
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -33,6 +33,9 @@
 	Client     runner.Client
 	Exchange   *digest.Exchange
 	DataCentre string
+	// DrainNoticeLimit is how long requests may be sent to a runner after the list of runners shows it as leaving; 0 if
+	// unknown.
+	DrainNoticeLimit clock.Millis
 	// Name is the name of this gateway, by which ties between waiting requests of several gateways are broken.
 	Name  string
 	Clock clock.Clock
@@ -101,7 +104,7 @@
 	}, func() float64 { return float64(config.Exchange.OriginCount()) })
 	s := &Server{
 		config: config, contention: contentionState{services: map[string]*serviceContention{}},
-		versions: streamorigin.NewHistory(), placement: placement.New(placement.Config{DataCentre: config.DataCentre}),
+		versions: streamorigin.NewHistory(), placement: placement.New(placement.Config{DataCentre: config.DataCentre, LeavingGrace: clock.Millis(leavingGraceShare * float64(config.DrainNoticeLimit))}),
 		loads: &occupancy.Cache[placement.Load]{Read: runnerLoad}, retries: admission.NewRetryDetector(),
 		queues: map[string]*serviceQueue{}, loadChanged: make(chan struct{}), ready: make(chan struct{}),
 		metrics: &metrics{
@@ -177,6 +180,7 @@
 func (s *Server) SetRunners(runners []*toucanhingev1.Runner, gateways int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.placement.RecordLeaving(s.config.Clock.Now(), runners)
 	s.placement.SetRunners(runners)
 	s.versions.Update(s.config.Clock.Now(), runners)
 	s.runners = runners
--- a/gateway/pkg/placement/machine.go
+++ b/gateway/pkg/placement/machine.go
@@ -123,6 +123,9 @@
 type Config struct {
 	// DataCentre is the data centre of the gateway.
 	DataCentre string
+	// LeavingGrace is how long after a runner began to leave a stream may still continue there if no other runner has
+	// its software version; 0 for never.
+	LeavingGrace clock.Millis
 }
 
 // Machine holds the known runners and what this gateway has observed of them.
@@ -131,6 +134,8 @@
 	runners       []*toucanhingev1.Runner
 	blocked       map[string]clock.Millis
 	deprioritized map[string]clock.Millis
+	// leavingSince is when runners that were known before began to leave.
+	leavingSince map[string]clock.Millis
 	// avoided holds the runners that other gateways can't reach.
 	avoided map[string]bool
 	hold    map[string]float64
@@ -152,7 +157,7 @@
 func New(config Config) *Machine {
 	return &Machine{
 		config: config, blocked: map[string]clock.Millis{}, deprioritized: map[string]clock.Millis{}, hold: map[string]float64{},
-		routeHolds: map[string]*holdModel{}, events: map[string]eventTimes{},
+		routeHolds: map[string]*holdModel{}, events: map[string]eventTimes{}, leavingSince: map[string]clock.Millis{},
 	}
 }
 
@@ -173,6 +178,32 @@
 	m.runners = slices.SortedFunc(slices.Values(runners), byID)
 }
 
+// RecordLeaving records which runners have begun to leave in the list that SetRunners gets next. A runner that this
+// gateway hasn't known before may have been leaving for long.
+func (m *Machine) RecordLeaving(now clock.Millis, next []*toucanhingev1.Runner) {
+	serving := make(map[string]bool, len(m.runners))
+	for _, r := range m.runners {
+		serving[r.GetId()] = !r.GetLeaving()
+	}
+	leaving := map[string]clock.Millis{}
+	for _, r := range next {
+		since, known := m.leavingSince[r.GetId()]
+		if serving[r.GetId()] {
+			since, known = now, true
+		}
+		if r.GetLeaving() && known {
+			leaving[r.GetId()] = since
+		}
+	}
+	m.leavingSince = leaving
+}
+
+// mayContinueAt reports whether a stream may continue at a runner that leaves.
+func (m *Machine) mayContinueAt(now clock.Millis, req Request, r *toucanhingev1.Runner) bool {
+	since, known := m.leavingSince[r.GetId()]
+	return req.Version != "" && known && now-since < m.config.LeavingGrace
+}
+
 func byID(a, b *toucanhingev1.Runner) int { return strings.Compare(a.GetId(), b.GetId()) }
 
 // Block excludes a runner until the given time because it refused a request or is unreachable.
@@ -229,16 +260,20 @@
 	}, true
 }
 
-// eligible returns the runners of the service that accept requests. Runners that were tried before are returned only
-// if there is no other. The list is valid until the next call.
+// eligible returns the runners of the service that accept requests. Runners that have just begun to leave are returned
+// only if a stream can continue nowhere else, and runners that were tried before only if there is no other. The list is
+// valid until the next call.
 func (m *Machine) eligible(now clock.Millis, req Request) []*toucanhingev1.Runner {
 	eligible := m.scratch.eligible[:0]
-	var tried, avoided []*toucanhingev1.Runner
+	var tried, avoided, leaving []*toucanhingev1.Runner
 	for _, r := range m.runners {
 		switch {
-		case r.GetService() != req.Service || req.Version != "" && r.GetVersion() != req.Version || r.GetLeaving() || len(m.blocked) > 0 && m.blocked[r.GetId()] > now:
+		case r.GetService() != req.Service || req.Version != "" && r.GetVersion() != req.Version || len(m.blocked) > 0 && m.blocked[r.GetId()] > now:
+		case r.GetLeaving() && !m.mayContinueAt(now, req, r):
 		case slices.Contains(req.Tried, r.GetId()):
 			tried = append(tried, r)
+		case r.GetLeaving():
+			leaving = append(leaving, r)
 		case len(m.avoided) > 0 && m.avoided[r.GetId()]:
 			avoided = append(avoided, r)
 		default:
@@ -250,10 +285,14 @@
 		slices.SortFunc(eligible, byID)
 	}
 	m.scratch.eligible = eligible
-	if len(eligible) == 0 {
+	switch {
+	case len(eligible) > 0:
+		return eligible
+	case len(leaving) > 0:
+		return leaving
+	default:
 		return tried
 	}
-	return eligible
 }
 
 // queuePosition returns the number of requests that must end before another one starts. Batch items don't count, since
--- a/gateway/pkg/placement/version_test.go
+++ b/gateway/pkg/placement/version_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"toucanhinge.example/common/pkg/clock"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
@@ -48,3 +49,41 @@
 		})
 	}
 }
+
+// Guards against a stream that ends although a runner of its version still serves, and against requests to a runner that
+// has been leaving for long.
+func TestStreamContinuesAtLeavingRunnerAsLastResort(t *testing.T) {
+	const grace clock.Millis = 1_000
+	runner := func(id string, leaving bool) *toucanhingev1.Runner {
+		return &toucanhingev1.Runner{Id: id, Service: "llm", Slots: 2, Version: "v1", Leaving: leaving}
+	}
+	for _, c := range []struct {
+		name     string
+		version  string
+		before   []*toucanhingev1.Runner
+		after    []*toucanhingev1.Runner
+		age      clock.Millis
+		tried    []string
+		selected string
+	}{
+		{"it has just begun to leave", "v1", []*toucanhingev1.Runner{runner("a", false)}, []*toucanhingev1.Runner{runner("a", true)}, grace - 1, nil, "a"},
+		{"it has been leaving for long", "v1", []*toucanhingev1.Runner{runner("a", false)}, []*toucanhingev1.Runner{runner("a", true)}, grace, nil, ""},
+		{"a new request", "", []*toucanhingev1.Runner{runner("a", false)}, []*toucanhingev1.Runner{runner("a", true)}, 0, nil, ""},
+		{"another one serves", "v1", []*toucanhingev1.Runner{runner("a", false), runner("b", false)}, []*toucanhingev1.Runner{runner("a", true), runner("b", false)}, 0, nil, "b"},
+		{"the other one was tried", "v1", []*toucanhingev1.Runner{runner("a", false), runner("b", false)}, []*toucanhingev1.Runner{runner("a", true), runner("b", false)}, 0, []string{"b"}, "a"},
+		{"it was leaving when it became known", "v1", nil, []*toucanhingev1.Runner{runner("a", true)}, 0, nil, ""},
+		{"it was leaving before", "v1", []*toucanhingev1.Runner{runner("a", true)}, []*toucanhingev1.Runner{runner("a", true)}, 0, nil, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := New(Config{LeavingGrace: grace})
+			now := clock.Millis(5_000)
+			for _, list := range [][]*toucanhingev1.Runner{c.before, c.after, c.after} {
+				m.RecordLeaving(now, list)
+				m.SetRunners(list)
+			}
+			choice, ok := m.Select(now+c.age, Request{Service: "llm", Version: c.version, Tried: c.tried}, func(string) Load { return Load{} })
+			require.Equal(t, c.selected != "", ok)
+			require.Equal(t, c.selected, choice.Runner.GetId())
+		})
+	}
+}
