--- a/common/pkg/digest/origins_test.go
+++ b/common/pkg/digest/origins_test.go
@@ -14,7 +14,7 @@
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
-// Guards against a stream that can't be taken up at another gateway, whichever it is, at once after its first event.
+// Guards against a stream that can't be resumed at another gateway, whichever it is, at once after its first event.
 func TestOriginIsFoundAtEveryGateway(t *testing.T) {
 	f := newLoopbackFleet(t, 9)
 	for n, began := range f.daemons {
@@ -55,7 +55,7 @@
 	require.Less(t, time.Since(startedAt), originQueryInterval, "a gateway without others doesn't wait for them")
 }
 
-// Guards against a record that is still on its way when the stream is taken up.
+// Guards against a record that is still on its way when the stream is resumed.
 func TestLateRecordIsFound(t *testing.T) {
 	f := newLoopbackFleet(t, 6)
 	key := streamorigin.KeyOf("", "r", "late")
--- a/common/pkg/logs/logs.go
+++ b/common/pkg/logs/logs.go
@@ -26,15 +26,15 @@
 // Events in the course of a request, an item or a job. docs/OPERATIONS.md lists them with the keys of
 // their lines.
 const (
-	EventRequestEnded   = "request-ended"
-	EventRequestRetried = "request-goes-elsewhere"
-	EventStreamTakenUp  = "stream-taken-up"
-	EventRunnerCrashed  = "runner-crashed"
-	EventItemPaused     = "item-paused"
-	EventItemMoved      = "item-moved"
-	EventItemRestarted  = "item-restarted"
-	EventItemEnded      = "item-call-ended"
-	EventJobAnswered    = "job-answered"
+	EventRequestEnded    = "request-ended"
+	EventRequestRetried  = "request-goes-elsewhere"
+	EventResumeRequested = "resume-requested"
+	EventRunnerCrashed   = "runner-crashed"
+	EventItemPaused      = "item-paused"
+	EventItemMoved       = "item-moved"
+	EventItemRestarted   = "item-restarted"
+	EventItemEnded       = "item-call-ended"
+	EventJobAnswered     = "job-answered"
 )
 
 // Config configures a logger.
--- a/common/pkg/logs/queue.go
+++ b/common/pkg/logs/queue.go
@@ -88,7 +88,7 @@
 
 // routineEvents occur for each request or item in normal operation.
 var routineEvents = map[string]bool{
-	EventRequestEnded: true, EventRequestRetried: true, EventStreamTakenUp: true, EventItemPaused: true, EventItemMoved: true, EventItemRestarted: true, EventItemEnded: true, EventJobAnswered: true,
+	EventRequestEnded: true, EventRequestRetried: true, EventResumeRequested: true, EventItemPaused: true, EventItemMoved: true, EventItemRestarted: true, EventItemEnded: true, EventJobAnswered: true,
 }
 
 // classify returns the event of a line, and whether the line is a warning or an error.
--- a/common/pkg/streamorigin/history_test.go
+++ b/common/pkg/streamorigin/history_test.go
@@ -9,7 +9,7 @@
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
-// Guards against a stream without a record that goes on at the only version there is now, although it may have begun at
+// Guards against a stream without a record that continues at the only version there is now, although it may have begun at
 // another one that was there, or that this gateway hasn't known for long.
 func TestOnlyVersion(t *testing.T) {
 	const span clock.Millis = 10_000
--- a/common/pkg/streamorigin/origin.go
+++ b/common/pkg/streamorigin/origin.go
@@ -1,8 +1,8 @@
 // Package streamorigin holds at which service and software version streams began.
 //
-// A stream may go on only at the software version that began it, also when its caller takes it up at another
+// A stream may continue only at the software version that began it, also when its caller resumes it at another
 // gateway. What begins a stream is known to one gateway only, which may be gone by then. It therefore sends a
-// record to a few other gateways, selected by hashing, and a gateway at which a stream is taken up asks those.
+// record to a few other gateways, selected by hashing, and a gateway at which a stream is resumed asks those.
 // A record never changes, so that it can be missing but never outdated: a gateway without a record refuses.
 //
 // The package holds no goroutine, socket or clock.
@@ -17,7 +17,7 @@
 // Key identifies the attempt of a caller that received the first event of a stream.
 type Key hash128.Sum
 
-// KeyOf returns the key of an attempt. Team and route are part of it, so that nobody can take up, or learn of, a
+// KeyOf returns the key of an attempt. Team and route are part of it, so that nobody can resume, or learn of, a
 // stream of another team or route.
 func KeyOf(team, route, attempt string) Key {
 	return Key(hash128.Of([]byte(team), []byte(route), []byte(attempt)))
--- a/common/pkg/streamorigin/store.go
+++ b/common/pkg/streamorigin/store.go
@@ -10,7 +10,7 @@
 	maxLifetime clock.Millis = 60_000
 )
 
-// Store holds the origins of streams until no caller can take them up any more. The zero value is not usable.
+// Store holds the origins of streams until no caller can resume them any more. The zero value is not usable.
 type Store struct {
 	records map[Key]record
 	// order lists the keys in the order in which they were added, for the removal of expired ones.
--- a/common/pkg/streamorigin/store_test.go
+++ b/common/pkg/streamorigin/store_test.go
@@ -16,7 +16,7 @@
 	v2 = Origin{Service: "llm", Version: "v2"}
 )
 
-// Guards against a stream that another team, or another route, takes up.
+// Guards against a stream that another team, or another route, resumes.
 func TestKeysOfOthersDiffer(t *testing.T) {
 	key := KeyOf("team", "host/path/", "attempt")
 	require.Equal(t, key, KeyOf("team", "host/path/", "attempt"))
--- a/control/pkg/batchrun/metrics.go
+++ b/control/pkg/batchrun/metrics.go
@@ -31,7 +31,7 @@
 			Name: "toucanhinge_items_moved_total", Help: "Items moved to a faster runner.",
 		}),
 		Restarted: factory.NewCounter(prometheus.CounterOpts{
-			Name: "toucanhinge_items_restarted_total", Help: "Items that began anew at another software version.",
+			Name: "toucanhinge_items_restarted_total", Help: "Items that restarted at another software version.",
 		}),
 		Ended: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "toucanhinge_item_calls_total", Help: "Item calls by outcome.",
--- a/control/pkg/batchrun/progress_test.go
+++ b/control/pkg/batchrun/progress_test.go
@@ -26,7 +26,7 @@
 }
 
 // Guards against a result that continues a discarded text: the log still holds that one, and a part of it may be logged
-// while the item begins anew.
+// while the item restarts.
 func TestDiscardedTextIsNotContinuedInTheLog(t *testing.T) {
 	p := &progress{}
 	for id := range uint64(4) {
--- a/control/pkg/batchrun/software_version_test.go
+++ b/control/pkg/batchrun/software_version_test.go
@@ -9,8 +9,8 @@
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
-// Guards against a text that holds events of two software versions: an item whose call broke off goes on at a runner of
-// the version that wrote its text, or begins anew.
+// Guards against a text that holds events of two software versions: an item whose call broke off continues at a runner of
+// the version that wrote its text, or restarts.
 func TestItemTextHoldsOneSoftwareVersion(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -51,7 +51,7 @@
 			sent := f.sent()
 			require.Len(t, sent, 2)
 			require.Equal(t, "a", lost.GetId())
-			require.Equal(t, c.resumes, sent[1].Resume, "it goes on at %s, or begins anew", sent[1].Runner.GetVersion())
+			require.Equal(t, c.resumes, sent[1].Resume, "it continues at %s, or restarts", sent[1].Runner.GetVersion())
 			if c.resumes {
 				require.Equal(t, "v1", sent[1].Runner.GetVersion())
 				require.Equal(t, uint64(2), sent[1].After)
--- a/control/pkg/dispatch/version.go
+++ b/control/pkg/dispatch/version.go
@@ -49,7 +49,7 @@
 	return slices.ContainsFunc(services, func(service string) bool { return slices.Contains(v[service], version) })
 }
 
-// isPinned reports whether a waiting item may start only at the software version that wrote its text. It may begin anew
+// isPinned reports whether a waiting item may start only at the software version that wrote its text. It may restart
 // elsewhere if that version has no runners left, or once it has been passed over for its version for as long as its work would
 // take again: then it has waited at most twice as long as would have been best.
 func (i *item) isPinned(now clock.Millis, versions softwareVersions, services []string) bool {
--- a/gateway/pkg/forward/admit.go
+++ b/gateway/pkg/forward/admit.go
@@ -23,7 +23,7 @@
 		// A stream that the caller has begun to receive continues without regard to other requests.
 		return choice, nil
 	case e.origin.Service != "":
-		return choice, e.admitTakenUp(choice, req)
+		return choice, e.admitResumed(choice, req)
 	}
 	switch admission.Decide(e.now(), req) {
 	case admission.Admit:
@@ -35,9 +35,9 @@
 	}
 }
 
-// admitTakenUp admits a stream that the caller takes up before the requests that wait for a slot: those can begin at any
+// admitResumed admits a stream that the caller resumes before the requests that wait for a slot: those can begin at any
 // runner, while few may run its software version. It is refused only if it would wait for too long.
-func (e *exchange) admitTakenUp(choice placement.Choice, req admission.Request) *Refusal {
+func (e *exchange) admitResumed(choice placement.Choice, req admission.Request) *Refusal {
 	if choice.Wait <= min(maxResumeWait, e.deadline-e.now()) {
 		return nil
 	}
--- a/gateway/pkg/forward/origin.go
+++ b/gateway/pkg/forward/origin.go
@@ -25,13 +25,13 @@
 	// streamLives is the number of the route's time limits for which a service must have had a single software version,
 	// so that a stream without a record can't have begun at another one. A caller's attempts follow each other.
 	streamLives = 2
-	// maxResumeWait is the longest expected wait for a slot with which a stream is taken up: callers give up after
+	// maxResumeWait is the longest expected wait for a slot with which a stream is resumed: callers give up after
 	// two seconds without an event.
 	maxResumeWait clock.Millis = 1_500
 	// leavingGraceShare is the part of DrainNoticeLimit for which streams may continue at a runner that leaves. The rest is
 	// for the time until this gateway knows that it leaves.
 	leavingGraceShare = 0.33
-	// versionRetryDelay is how soon a caller may take up its stream again if no runner of its software version can be used
+	// versionRetryDelay is how soon a caller may resume its stream again if no runner of its software version can be used
 	// at the moment, for example because they restart.
 	versionRetryDelay = 500 * time.Millisecond
 )
@@ -92,23 +92,23 @@
 	return streamorigin.Origin{Service: entry.service, Version: version}, ok
 }
 
-// takesUpStream reports whether the caller takes up a stream that an earlier attempt began.
-func (e *exchange) takesUpStream() bool { return e.request.Resume && e.route.Streams() }
+// resumesStream reports whether the caller resumes a stream that an earlier attempt began.
+func (e *exchange) resumesStream() bool { return e.request.Resume && e.route.Streams() }
 
 // originKey returns the key of the attempt in which the caller received the first event; named is false if the caller
 // gave none.
 func (e *exchange) originKey() (key streamorigin.Key, named bool) {
 	attempt := e.request.ID
-	if e.takesUpStream() {
+	if e.resumesStream() {
 		attempt = e.request.Resumes
 	}
 	return streamorigin.KeyOf(e.auth.Team.GetName(), routeID(e.route), attempt), attempt != ""
 }
 
-// resolveOrigin determines the service and the software version at which the caller's stream goes on. Nothing else may
+// resolveOrigin determines the service and the software version at which the caller's stream continues. Nothing else may
 // continue it, so that a stream whose origin isn't known for certain is refused.
 func (e *exchange) resolveOrigin(ctx context.Context) *Refusal {
-	if !e.takesUpStream() {
+	if !e.resumesStream() {
 		return nil
 	}
 	startedAt, by := e.now(), knownByRecord
@@ -123,8 +123,8 @@
 	if !finding.Found {
 		by = knownByNobody
 	}
-	e.server.metrics.takenUp.WithLabelValues(by).Inc()
-	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventStreamTakenUp, logs.KeyRequest, e.request.ID,
+	e.server.metrics.resumeRequests.WithLabelValues(by).Inc()
+	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventResumeRequested, logs.KeyRequest, e.request.ID,
 		"resumes", e.request.Resumes, "after", e.request.After, "known-by", by, "service", finding.Origin.Service,
 		"software", finding.Origin.Version, "asked", finding.Asked, "unknown-to", finding.Answered, "took-ms", e.now()-startedAt)
 	switch {
--- a/gateway/pkg/forward/request.go
+++ b/gateway/pkg/forward/request.go
@@ -57,7 +57,7 @@
 	ReasonNoChance = "no-chance-to-start"
 	ReasonBroken   = "runner-broke-off"
 	ReasonAttempts = "attempts-used-up"
-	// ReasonUnknownStream means that a stream can't be taken up because nobody reachable knows at which software
+	// ReasonUnknownStream means that a stream can't be resumed because nobody reachable knows at which software
 	// version it began.
 	ReasonUnknownStream = "unknown-stream"
 	// ReasonStreamMoved means that the route doesn't lead to the stream's service any more.
--- a/gateway/pkg/forward/taken_up_test.go
+++ b/gateway/pkg/forward/resumed_test.go
@@ -14,8 +14,8 @@
 	"toucanhinge.example/common/pkg/streamorigin"
 )
 
-// takeUp takes a stream up after its first event.
-func (f *fixture) takeUp(path, resumes string) (status int, text string) {
+// resume requests the rest of a stream after its first event.
+func (f *fixture) resume(path, resumes string) (status int, text string) {
 	f.t.Helper()
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, f.url+path, nil)
 	require.NoError(f.t, err)
@@ -40,9 +40,9 @@
 	f.server.config.Boot = f.server.config.Clock
 }
 
-// Guards against a caller's stream that goes on although nobody knows for certain at which software version it began, and
+// Guards against a caller's stream that continues although nobody knows for certain at which software version it began, and
 // against one of another team, route or service that is joined.
-func TestStreamIsTakenUpOnlyWhereItsOriginIsCertain(t *testing.T) {
+func TestStreamIsResumedOnlyIfItsOriginIsCertain(t *testing.T) {
 	llm1 := streamorigin.Origin{Service: "llm", Version: "v1"}
 	one, two := map[string]string{"a": "v1", "b": "v1"}, map[string]string{"a": "v1", "b": "v2"}
 	for _, c := range []struct {
@@ -55,7 +55,7 @@
 		team  string
 		// old is set if table and list have been the same for long, fresh if the list was confirmed lately.
 		old, fresh bool
-		// reason is that of the refusal, empty if the stream goes on at v1.
+		// reason is that of the refusal, empty if the stream continues at v1.
 		reason string
 	}{
 		{"its origin is recorded", two, "/resumable/x", "first", map[string]streamorigin.Origin{"first": llm1}, "", false, false, ""},
@@ -83,7 +83,7 @@
 				f.server.ConfirmFleet(f.server.config.Boot.Now())
 			}
 			startedAt := time.Now()
-			status, text := f.takeUp(c.path, c.resumes)
+			status, text := f.resume(c.path, c.resumes)
 			require.Less(t, time.Since(startedAt), 500*time.Millisecond, "a refusal must not wait for the timeout")
 			if c.reason != "" {
 				require.Equal(t, http.StatusServiceUnavailable, status, text)
@@ -102,19 +102,19 @@
 
 // Guards against streams that are refused, or wait behind new requests, while all slots of their software version are taken:
 // a new request may begin elsewhere.
-func TestTakenUpStreamGoesBeforeWaitingRequests(t *testing.T) {
+func TestResumedStreamGoesBeforeWaitingRequests(t *testing.T) {
 	f := start(t, reply{text: "id: 2\ndata: b\n\n"})
 	f.setVersions(map[string]string{"a": "v1", "b": "v2", "c": "v2"})
 	f.knowOrigin("", "first", streamorigin.Origin{Service: "llm", Version: "v1"})
 	f.server.config.Exchange.Add("a", occupancy.Load{Online: 2})
-	status, text := f.takeUp("/resumable/x", "first")
+	status, text := f.resume("/resumable/x", "first")
 	require.Equal(t, http.StatusOK, status, text)
 	require.Equal(t, "a", f.sent()[0].Runner.GetId())
 }
 
-// Guards against a stream that loses its origin when it is taken up twice: both times the caller names the attempt of the
+// Guards against a stream that loses its origin when it is resumed twice: both times the caller names the attempt of the
 // first event, and this gateway isn't the one that began it.
-func TestStreamIsTakenUpTwice(t *testing.T) {
+func TestStreamIsResumedTwice(t *testing.T) {
 	f := start(t, reply{text: "id: 2\ndata: b\n\n", fails: true}, reply{err: errConnReset}, reply{text: "id: 3\ndata: c\n\n"})
 	f.setVersions(map[string]string{"a": "v1", "b": "v2", "c": "v1", "d": "v2"})
 	f.knowOrigin("", "first", streamorigin.Origin{Service: "llm", Version: "v1"})
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -80,14 +80,14 @@
 }
 
 type metrics struct {
-	requests   *prometheus.CounterVec
-	refused    *prometheus.CounterVec
-	retried    *prometheus.CounterVec
-	continued  *prometheus.CounterVec
-	takenUp    *prometheus.CounterVec
-	firstEvent prometheus.Histogram
-	waiting    prometheus.Gauge
-	crashes    prometheus.Counter
+	requests       *prometheus.CounterVec
+	refused        *prometheus.CounterVec
+	retried        *prometheus.CounterVec
+	continued      *prometheus.CounterVec
+	resumeRequests *prometheus.CounterVec
+	firstEvent     prometheus.Histogram
+	waiting        prometheus.Gauge
+	crashes        prometheus.Counter
 }
 
 // New returns a server without a routing table.
@@ -120,8 +120,8 @@
 			continued: factory.NewCounterVec(prometheus.CounterOpts{
 				Name: "toucanhinge_streams_continued_total", Help: "Streams continued after a break, by whom.",
 			}, []string{"by"}),
-			takenUp: factory.NewCounterVec(prometheus.CounterOpts{
-				Name: "toucanhinge_streams_taken_up_total", Help: "Streams that callers take up, by how their origin is known.",
+			resumeRequests: factory.NewCounterVec(prometheus.CounterOpts{
+				Name: "toucanhinge_resume_requests_total", Help: "Streams that callers resume, by how their origin is known.",
 			}, []string{"known_by"}),
 			firstEvent: factory.NewHistogram(prometheus.HistogramOpts{
 				Name: "toucanhinge_first_event_seconds", Help: "Time from a request's arrival to its first event.",
--- a/gateway/pkg/forward/software_version_test.go
+++ b/gateway/pkg/forward/software_version_test.go
@@ -20,7 +20,7 @@
 	f.server.SetRunners(runners, 1)
 }
 
-// Guards against an answer that goes on at a runner of another software version than the one that began it, although
+// Guards against an answer that continues at a runner of another software version than the one that began it, although
 // a runner of that version is free.
 func TestStreamContinuesAtItsSoftwareVersion(t *testing.T) {
 	for range 20 {
--- a/gateway/pkg/placement/version_test.go
+++ b/gateway/pkg/placement/version_test.go
@@ -9,7 +9,7 @@
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
-// Guards against a stream that goes on at a runner of another software version because that one is free, near, or the only
+// Guards against a stream that continues at a runner of another software version because that one is free, near, or the only
 // one that answers.
 func TestSelectKeepsSoftwareVersion(t *testing.T) {
 	list := func() []*toucanhingev1.Runner {
