Keep the attempt of an item whose sidecar was only late

Cause: a lease that ended in silence counted against an item that ran alone like a crash, though a sidecar that is frozen or starved for longer than its lease says nothing about the item. Control couldn't learn better: an idle sidecar renews nothing, so after a freeze, or when the answer to its lease request was lost or came late, it never said that it doesn't hold the lease.

Now silence counts against such an item only after three leases, and a sidecar that lost a lease or may have been granted one that it doesn't know lists what it holds every half lease for two leases. Control then ends the lease as unknown to its holder, which spends no attempt. The end of leases is logged with its cause (leases-ended): until now nothing told a late sidecar from a crashed one.

Ruled out: crashes of neighbours alone, which spend no attempt when a lease ends.

Not covered: an item that silences its sidecar for one to three leases at each run spends no attempt.

--- a/control/pkg/config/config.go
+++ b/control/pkg/config/config.go
@@ -48,7 +48,7 @@
 
 // Jobs holds the limits of batch work.
 type Jobs struct {
-	LeaseMS     int64  `toml:"lease_ms" doc:"how long a sidecar may be unresponsive before the items it leased go to another sidecar"`
+	LeaseMS     int64  `toml:"lease_ms" doc:"how long a sidecar may be unresponsive before the items it leased go to another sidecar; three times as long for an item that runs alone"`
 	RetentionMS int64  `toml:"retention_ms" doc:"how long an ended job and its results are retained; must be longer than clients resend requests"`
 	UploadMS    int64  `toml:"upload_ms" doc:"how long the items of an interrupted upload are retained"`
 	MaxItems    uint64 `toml:"most_items" doc:"maximum items in one job"`
--- a/control/pkg/jobstate/view.go
+++ b/control/pkg/jobstate/view.go
@@ -12,6 +12,8 @@
 	Sidecar     string
 	Incarnation uint64
 	Granted     clock.Millis
+	// Alone reports that the lease holds an item that runs alone.
+	Alone bool
 }
 
 // Decided refers to the body and the result of one decided item.
@@ -84,7 +86,7 @@
 	list := make([]LeaseView, 0, len(s.leases))
 	for _, number := range s.leaseNumbers() {
 		l := s.leases[number]
-		list = append(list, LeaseView{Number: number, Sidecar: l.sidecar, Incarnation: l.incarnation, Granted: l.granted})
+		list = append(list, LeaseView{Number: number, Sidecar: l.sidecar, Incarnation: l.incarnation, Granted: l.granted, Alone: l.alone})
 	}
 	return list
 }
--- a/control/pkg/work/lease_tracker.go
+++ b/control/pkg/work/lease_tracker.go
@@ -18,6 +18,8 @@
 const (
 	checkInterval = 250 * time.Millisecond
 	sweepInterval = clock.Millis(30_000)
+	// leasesUntilLost is the number of leases after which a silent sidecar is taken for lost and not for late.
+	leasesUntilLost = 3
 )
 
 // LeaseTrackerConfig configures a lease tracker.
@@ -165,6 +167,11 @@
 	for _, step := range t.checkSteps(g.Number, leases) {
 		if _, err := g.Steps.Do(ctx, step, approxStepBytes); err != nil {
 			level.Warn(t.config.Logger).Log(logs.KeyEvent, "expiry-not-logged", logs.KeyGroup, g.Number, logs.KeyError, err)
+			continue
+		}
+		if expired := step.GetExpire(); expired != nil {
+			level.Info(t.config.Logger).Log(logs.KeyEvent, "leases-ended", logs.KeyGroup, g.Number,
+				"cause", expired.GetCause(), "leases", len(expired.GetLeases()), "first", expired.GetLeases()[0])
 		}
 	}
 }
@@ -203,14 +210,19 @@
 // if it is live.
 func (t *LeaseTracker) expiryCause(current *leadership, l jobstate.LeaseView, now clock.Millis) toucanhingev1.ExpiryCause {
 	list, listed := current.lists[l.Sidecar]
+	limit := t.config.Lease
+	if l.Alone {
+		// The end of this lease may be the item's last attempt, and a late sidecar says nothing against the item.
+		limit *= leasesUntilLost
+	}
 	switch {
-	case now-max(current.renewed[l.Number], current.since) > t.config.Lease:
+	case now-max(current.renewed[l.Number], current.since) > limit:
 		return toucanhingev1.ExpiryCause_EXPIRY_CAUSE_RUN_OUT
 	case listed && list.sender.incarnation > l.Incarnation:
 		return toucanhingev1.ExpiryCause_EXPIRY_CAUSE_RESTARTED
 	case listed && !list.leases[l.Number] && list.receivedAt-max(current.renewed[l.Number], current.since) > t.config.Lease/2:
-		// The sidecar is alive and did not list a lease that it would know by now.
-		// The response that granted the lease was lost, and no engine received the items.
+		// The sidecar is alive and did not list a lease that it would know by now. The response that granted the
+		// lease was lost, or the sidecar was silent until the lease had expired.
 		return toucanhingev1.ExpiryCause_EXPIRY_CAUSE_UNKNOWN_TO_HOLDER
 	default:
 		return toucanhingev1.ExpiryCause_EXPIRY_CAUSE_UNSPECIFIED
--- a/control/pkg/work/lease_tracker_test.go
+++ b/control/pkg/work/lease_tracker_test.go
@@ -73,15 +73,21 @@
 	}}})
 	var leases []uint64
 	for range items {
-		result := tt.do(&toucanhingev1.JobStep{Step: &toucanhingev1.JobStep_Lease{Lease: &toucanhingev1.LeaseStep{
-			Request: &toucanhingev1.LeaseRequest{Sidecar: "s1", Incarnation: 5, Service: "svc", Most: 1},
-		}}}).(jobstate.LeaseResult)
-		leases = append(leases, result.Items[0].Lease)
-		tt.tracker.Granted(1, result.Items[0].Lease)
+		leases = append(leases, tt.lease().Lease)
 	}
 	return leases
 }
 
+// lease leases one item to the sidecar.
+func (tt *trackerTest) lease() jobstate.Leased {
+	result := tt.do(&toucanhingev1.JobStep{Step: &toucanhingev1.JobStep_Lease{Lease: &toucanhingev1.LeaseStep{
+		Request: &toucanhingev1.LeaseRequest{Sidecar: "s1", Incarnation: 5, Service: "svc", Most: 1},
+	}}}).(jobstate.LeaseResult)
+	require.Len(tt.t, result.Items, 1)
+	tt.tracker.Granted(1, result.Items[0].Lease)
+	return result.Items[0]
+}
+
 func (tt *trackerTest) renew(incarnation uint64, leases ...uint64) {
 	tt.tracker.Renewed(1, &toucanhingev1.RenewRequest{Sidecar: "s1", Incarnation: incarnation, Group: 1, Leases: leases})
 }
@@ -155,6 +161,36 @@
 	}
 }
 
+// Guards against a sound item that fails because its sidecar answers late: a lease that ends in silence must count as an
+// attempt of an item that ran alone only if the sidecar doesn't return.
+func TestSilenceCountsOnlyIfSidecarStaysAway(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		act     func(tt *trackerTest)
+		attempt uint32
+	}{
+		{"returns after one lease", func(tt *trackerTest) { tt.renew(5) }, 1},
+		{"returns after two leases", func(tt *trackerTest) { tt.now += testLease; tt.renew(5) }, 1},
+		{"restarted", func(tt *trackerTest) { tt.renew(6) }, 2},
+		{"stays away for three leases", func(tt *trackerTest) { tt.now += 2 * testLease }, 2},
+	}
+	for _, c := range scenarios {
+		t.Run(c.name, func(t *testing.T) {
+			tt := newTrackerTest(t)
+			tt.leaseItems(1)
+			tt.now += testLease + 1
+			tt.checkLive(nil)
+			alone := tt.lease()
+			require.True(t, alone.Alone)
+			tt.now += testLease + 1
+			require.Equal(t, []bool{true}, tt.checkLive([]uint64{alone.Lease}), "the sidecar may only be late")
+			c.act(tt)
+			require.Equal(t, []bool{false}, tt.checkLive([]uint64{alone.Lease}))
+			require.Equal(t, c.attempt, tt.lease().Attempt)
+		})
+	}
+}
+
 // TestConfirmReadsOncePerLeadership checks that the first renewal of each term waits
 // for a confirmed read. A new leader may not have applied its predecessor's grants
 // yet, and would report live leases as revoked.
--- a/lab/failure/main_test.go
+++ b/lab/failure/main_test.go
@@ -23,6 +23,8 @@
 	testTimeout = 5 * time.Minute
 	// engineSpeed keeps runs short, while several engine steps still pass during any failure.
 	engineSpeed = 4
+	// jobLease is short to keep the tests short. The lease mechanism does not depend on its length.
+	jobLease = 2 * time.Second
 )
 
 // binaries is the folder of the programs under test, which are built once for all tests.
@@ -72,8 +74,7 @@
 	if config.Engine.Speed == 0 {
 		config.Engine.Speed = engineSpeed
 	}
-	// Short leases keep the tests short. The lease mechanism does not depend on their length.
-	config.ControlSettings = append([]fleet.Setting{fleet.Set("jobs.lease_ms", 2000), fleet.Set("members.lease_ms", 6000)}, config.ControlSettings...)
+	config.ControlSettings = append([]fleet.Setting{fleet.Set("jobs.lease_ms", int(jobLease.Milliseconds())), fleet.Set("members.lease_ms", 6000)}, config.ControlSettings...)
 	t.Cleanup(func() { printLogs(t, config.Folder) })
 	f, err := fleet.New(testContext(t), config)
 	require.NoError(t, err)
--- a/lab/failure/poison_items_test.go
+++ b/lab/failure/poison_items_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,12 +20,26 @@
 // retried alone, so poison items don't use up the attempts of items that ran beside them.
 func TestPoisonItemsDoNotFailOtherItems(t *testing.T) {
 	t.Parallel()
+	requireOnlyPoisonItemsFail(t, func(context.Context, *fleet.Fleet) {})
+}
+
+// Guards against a sound item that fails because its sidecar is late: an item that ran alone must keep its attempt if the
+// sidecar is frozen for longer than the lease, but returns.
+func TestFrozenSidecarsDoNotFailItemsThatRunAlone(t *testing.T) {
+	t.Parallel()
+	requireOnlyPoisonItemsFail(t, freezeSidecars)
+}
+
+// requireOnlyPoisonItemsFail runs a job with poison items while disturb disturbs the fleet.
+func requireOnlyPoisonItemsFail(t *testing.T, disturb func(context.Context, *fleet.Fleet)) {
+	t.Helper()
 	ctx := testContext(t)
 	f := startFleet(t, fleet.Config{Controls: 1, Gateways: 1, Sidecars: 2})
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	done := make(chan struct{})
-	go func() { defer close(done); restartEndedEngines(ctx, f) }()
+	var background sync.WaitGroup
+	background.Go(func() { restartEndedEngines(ctx, f) })
+	background.Go(func() { disturb(ctx, f) })
 	const items = 60
 	bad := map[int]string{7: "POISON", 31: "POISON", 44: "FAIL"}
 	var lines strings.Builder
@@ -49,7 +64,28 @@
 		return nil
 	}))
 	stop()
-	<-done
+	background.Wait()
+}
+
+// freezeSidecars freezes all sidecars for longer than a lease, again and again until the context ends.
+func freezeSidecars(ctx context.Context, f *fleet.Fleet) {
+	for ctx.Err() == nil {
+		for _, n := range f.Sidecars {
+			_ = n.Process().Freeze()
+		}
+		wait(ctx, jobLease+jobLease/5)
+		for _, n := range f.Sidecars {
+			_ = n.Process().Thaw()
+		}
+		wait(ctx, jobLease/4)
+	}
+}
+
+func wait(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
 }
 
 // restartEndedEngines restarts each engine that has ended until the context is cancelled.
--- a/sidecar/pkg/work/lease_manager.go
+++ b/sidecar/pkg/work/lease_manager.go
@@ -63,6 +63,24 @@
 	reporting    bool
 	pending      []*toucanhingev1.Completion
 	pendingSince clock.Millis
+	// duration is the duration of a lease in control's last answer.
+	duration clock.Millis
+	// Until listUntil, leases are listed regularly, also if there are none: control may count on a lease that isn't held
+	// here, and would take an item that runs alone under it for lost with this process.
+	listUntil  clock.Millis
+	nextListAt clock.Millis
+}
+
+// list lists the group's leases to control from now on. Control passes over a lease that it granted less than half of its
+// duration ago, so one list isn't enough.
+func (g *groupState) list(now clock.Millis) {
+	g.listUntil = now + 2*g.duration
+	g.nextListAt = min(max(g.nextListAt, now), now+g.duration/2)
+}
+
+// listDue reports whether the group's leases have to be listed although none needs a renewal.
+func (g *groupState) listDue(now clock.Millis) bool {
+	return now >= g.nextListAt && now < g.listUntil
 }
 
 type lease struct {
@@ -110,7 +128,7 @@
 // SetGroupCount sets the number of groups that control runs. It never decreases.
 func (m *LeaseManager) SetGroupCount(count uint32) {
 	for uint32(len(m.groups)) < count {
-		m.groups = append(m.groups, groupState{})
+		m.groups = append(m.groups, groupState{duration: assumedDuration})
 	}
 }
 
@@ -140,6 +158,7 @@
 		g.nextLeaseAt = now + max(clock.Millis(answer.GetRetryMs()), minLeaseBackoff)
 	}
 	duration := clock.Millis(answer.GetLeaseMs())
+	g.duration = duration
 	for _, item := range answer.GetItems() {
 		key := Key{Group: group, Lease: item.GetLease(), Job: item.GetJob(), Index: item.GetIndex()}
 		m.grant(now, sent, duration, key, item)
@@ -147,12 +166,19 @@
 	return m.plan(now)
 }
 
+// assumedDuration is the duration of a lease before control has told it.
+const assumedDuration = clock.Millis(10_000)
+
 // minLeaseBackoff is the minimum delay before the next lease request to a group without
 // available items, whatever retry time its answer contains. It prevents a busy loop.
 const minLeaseBackoff = clock.Millis(20)
 
 func (m *LeaseManager) grant(now, sent, duration clock.Millis, key Key, item *toucanhingev1.LeasedItem) {
-	if _, known := m.leases[key]; known || now >= sent+duration {
+	if now >= sent+duration {
+		m.groups[key.Group].list(now)
+		return
+	}
+	if _, known := m.leases[key]; known {
 		return
 	}
 	m.leases[key] = &lease{key: key, expiresAt: sent + duration, duration: duration}
@@ -160,11 +186,12 @@
 }
 
 // LeaseFailed ends a lease request without an answer. Leases that control may have
-// granted expire unused.
+// granted are missing from the next lists.
 func (m *LeaseManager) LeaseFailed(now clock.Millis, group uint32) []Action {
 	m.beginStep(now)
 	m.groups[group].leasing = false
 	m.groups[group].nextLeaseAt = now + failureBackoff
+	m.groups[group].list(now)
 	return m.plan(now)
 }
 
@@ -251,6 +278,7 @@
 	for key, l := range m.leases {
 		if now >= l.expiresAt {
 			m.dropLease(key)
+			m.groups[key.Group].list(now)
 		}
 	}
 }
@@ -298,12 +326,13 @@
 }
 
 // renew renews all leases of a group once one of them has only half of its duration
-// left.
+// left, or if they have to be listed.
 func (m *LeaseManager) renew(now clock.Millis, group uint32) {
-	if m.groups[group].renewing {
+	g := &m.groups[group]
+	if g.renewing {
 		return
 	}
-	needed := false
+	needed := g.listDue(now)
 	var numbers []uint64
 	for key, l := range m.leases {
 		if key.Group == group {
@@ -316,7 +345,8 @@
 	}
 	slices.Sort(numbers)
 	numbers = slices.Compact(numbers)
-	m.groups[group].renewing = true
+	g.renewing = true
+	g.nextListAt = now + g.duration/2
 	m.actions = append(m.actions, Action{Verb: VerbRenew, Group: group, Leases: numbers})
 }
 
--- a/sidecar/pkg/work/lease_manager_test.go
+++ b/sidecar/pkg/work/lease_manager_test.go
@@ -267,6 +267,42 @@
 	}
 }
 
+// Guards against an item that loses an attempt because control counts on a lease that isn't held here: an idle process has
+// to list its leases, which are none, for long enough that control doesn't pass over each list.
+func TestLeasesThatAreNotHeldAreListed(t *testing.T) {
+	granted := &toucanhingev1.LeaseResponse{LeaseMs: leaseDuration, Items: []*toucanhingev1.LeasedItem{{Lease: 1}}}
+	for name, lose := range map[string]func(m *LeaseManager) []Action{
+		"lease expires during a freeze": func(m *LeaseManager) []Action {
+			m.Granted(0, 0, 1, granted)
+			return m.Tick(2_000)
+		},
+		"answer arrives after its lease": func(m *LeaseManager) []Action { return m.Granted(2_000, 0, 1, granted) },
+		"no answer arrives": func(m *LeaseManager) []Action {
+			m.Granted(0, 0, 1, &toucanhingev1.LeaseResponse{LeaseMs: leaseDuration})
+			return m.LeaseFailed(2_000, 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := NewLeaseManager(LeaseManagerConfig{MaxItems: 4, MaxPerRequest: 4, FlushDelay: 20, FlushSize: 64})
+			m.SetGroupCount(2)
+			var listed []clock.Millis
+			actions := lose(m)
+			for now := clock.Millis(2_000); now <= 10_000; now += 100 {
+				for _, a := range actions {
+					if a.Verb != VerbRenew {
+						continue
+					}
+					require.Empty(t, a.Leases)
+					listed = append(listed, now)
+					m.Renewed(now, now, 1, nil, &toucanhingev1.RenewResponse{LeaseMs: leaseDuration})
+				}
+				actions = m.Tick(now + 100)
+			}
+			require.Equal(t, []clock.Millis{2_000, 2_500, 3_000, 3_500}, listed)
+		})
+	}
+}
+
 // Leases are requested from all groups in rotation, so that the jobs of one group don't
 // wait behind those of another.
 func TestLeaseRequestsRotateOverGroups(t *testing.T) {
