Don't insist at the next leader on referrals of the last one

What was seen: TestNextLeaderIsNotOverloaded counted 72 calls at the next leader (30 allowed), once, when that leader came 2 s late. Callers of the fleet would see changes late while a new leader answers every gateway itself; at 380 daemons it is the crowd that has brought leaders down before.

Cause: a gateway whose state lags by 1.5 s is blocked by its subscribers. If all gateways that the leader had named are blocked, a gateway insists at its next call to the leader, and is answered whatever the leader would rather do. Without a leader everybody lags, so everybody insisted at the next one, which had named nobody. Now a referral that received updates after the leader named it, and lags only since, says nothing to the next leader. One that has received nothing since it was named still does.

Ruled out: too short a period in which a new leader sends gateways back.

--- a/gateway/pkg/core/subscriber.go
+++ b/gateway/pkg/core/subscriber.go
@@ -121,20 +121,24 @@
 	ctx, cancel := context.WithTimeout(parent, queryTimeout)
 	defer cancel()
 	answer, err := s.query(ctx, gateway, s.conn.client(gateway).Attend, gatewayMaxWait, false)
-	if err == nil && clock.Millis(answer.GetBehindMs()) > maxLag {
-		err = fmt.Errorf("%w: %d ms", errLagging, answer.GetBehindMs())
-	}
 	if parent.Err() != nil {
 		return
 	}
+	now, behind := s.config.Boot.Now(), clock.Millis(answer.GetBehindMs())
 	// The state of a gateway that lags may still be newer than the state here.
-	if answer == nil || !s.apply(answer) || err != nil {
-		level.Info(s.config.Logger).Log(logs.KeyEvent, "news-unheard", "gateway", gateway, logs.KeyError, err)
-		s.conn.drop(gateway)
-		s.upstream.recordFailure(s.config.Boot.Now(), gateway, errors.Is(err, errLagging))
+	usable := err == nil && s.apply(answer)
+	switch {
+	case usable && behind <= maxLag:
+		s.recordFreshness(answer)
 		return
+	case usable:
+		err = fmt.Errorf("%w: %d ms", errLagging, behind)
+		s.upstream.recordLag(now, gateway, s.queriedAt-behind)
+	default:
+		s.upstream.recordFailure(now, gateway)
 	}
-	s.recordFreshness(answer)
+	level.Info(s.config.Logger).Log(logs.KeyEvent, "news-unheard", "gateway", gateway, logs.KeyError, err)
+	s.conn.drop(gateway)
 }
 
 var errLagging = errors.New("query gateway for updates: its state lags too far behind")
--- a/gateway/pkg/core/upstream.go
+++ b/gateway/pkg/core/upstream.go
@@ -29,7 +29,11 @@
 	// blockedUntil is the time until which a gateway is blocked after a failure.
 	blockedUntil map[string]clock.Millis
 	// referrals are the gateways that the leader named last, until all of them have failed.
-	referrals []string
+	referrals  []string
+	referredAt clock.Millis
+	// referralsOutdated is set if one of them received updates after the leader had named it and lags now. Then the leader
+	// has probably gone, and the failures say nothing to the next one.
+	referralsOutdated bool
 	// referralsFailed is set if all gateways that the leader named failed.
 	referralsFailed bool
 }
@@ -57,25 +61,33 @@
 // setReferrals sets the gateways that the leader names. The leader has received calls of them recently,
 // but gateways that are blocked here aren't queried: the network to them may be cut.
 func (u *upstream) setReferrals(now clock.Millis, addresses []string) {
-	u.referrals = addresses
+	u.referrals, u.referredAt, u.referralsOutdated = addresses, now, false
 	u.dropFailedReferrals(now)
 }
 
 // hasParents reports whether this gateway has parents in the tree.
 func (u *upstream) hasParents() bool { return len(u.tree.Parents(u.self)) > 0 }
 
-// recordFailure blocks a gateway whose call failed or whose state lags too far.
-func (u *upstream) recordFailure(now clock.Millis, gateway string, lagging bool) {
-	block := failureBlockDuration
-	if lagging {
-		block = lagBlockDuration
+// recordFailure blocks a gateway whose call failed.
+func (u *upstream) recordFailure(now clock.Millis, gateway string) {
+	u.block(now, gateway, failureBlockDuration)
+}
+
+// recordLag blocks a gateway whose state lags too far. asOf is the time of its last update.
+func (u *upstream) recordLag(now clock.Millis, gateway string, asOf clock.Millis) {
+	if asOf > u.referredAt && slices.Contains(u.referrals, gateway) {
+		u.referralsOutdated = true
 	}
+	u.block(now, gateway, lagBlockDuration)
+}
+
+func (u *upstream) block(now clock.Millis, gateway string, duration clock.Millis) {
 	for address, until := range u.blockedUntil {
 		if until <= now {
 			delete(u.blockedUntil, address)
 		}
 	}
-	u.blockedUntil[gateway] = now + block
+	u.blockedUntil[gateway] = now + duration
 	u.dropFailedReferrals(now)
 }
 
@@ -87,7 +99,7 @@
 	if slices.ContainsFunc(u.referrals, func(address string) bool { return u.blockedUntil[address] <= now }) {
 		return
 	}
-	u.referrals, u.referralsFailed = nil, true
+	u.referrals, u.referralsFailed = nil, !u.referralsOutdated
 }
 
 // recordSuccess records that a query returned updates.
--- a/gateway/pkg/core/upstream_test.go
+++ b/gateway/pkg/core/upstream_test.go
@@ -37,7 +37,7 @@
 	for _, want := range parents {
 		got, _ := u.next(now)
 		require.Equal(t, want, got)
-		u.recordFailure(now, want, false)
+		u.recordFailure(now, want)
 	}
 	got, insists := u.next(now)
 	require.Empty(t, got)
@@ -52,12 +52,12 @@
 	u, parents := newUpstreamInTree(t)
 	now := clock.Millis(1_000)
 	for _, p := range parents {
-		u.recordFailure(now, p, false)
+		u.recordFailure(now, p)
 	}
 	u.setReferrals(now, []string{parents[1], "10.0.1.1:7720"})
 	got, _ := u.next(now)
 	require.Equal(t, "10.0.1.1:7720", got)
-	u.recordFailure(now, got, false)
+	u.recordFailure(now, got)
 	got, insists := u.next(now)
 	require.Empty(t, got)
 	require.True(t, insists)
@@ -70,6 +70,26 @@
 	require.False(t, insists)
 }
 
+// Guards against a next leader that all gateways ask to answer them itself: the gateways that the last leader named lag
+// because it is gone, and the next one hasn't named any.
+func TestUpstreamDoesNotInsistWhenReferralsLagWithoutLeader(t *testing.T) {
+	u, parents := newUpstreamInTree(t)
+	now := clock.Millis(1_000)
+	u.setReferrals(now, []string{"10.0.1.1:7720", "10.0.1.2:7720"})
+	now += 60_000
+	for _, address := range append(parents, "10.0.1.1:7720", "10.0.1.2:7720") {
+		u.recordLag(now, address, now-maxLag-1)
+	}
+	got, insists := u.next(now)
+	require.Empty(t, got)
+	require.False(t, insists)
+	// The next leader names a gateway that has received nothing since: it is of no use.
+	u.setReferrals(now, []string{"10.0.1.3:7720"})
+	u.recordLag(now+100, "10.0.1.3:7720", now-maxLag)
+	_, insists = u.next(now + 100)
+	require.True(t, insists)
+}
+
 // A gateway that starts has no fleet view, and must query the gateways that the leader names.
 func TestUpstreamUsesReferralsWithoutFleet(t *testing.T) {
 	u := newUpstream(fanout.Gateway{Address: "10.0.0.1:7720", DataCentre: "here"})
@@ -94,7 +114,7 @@
 func TestUpstreamKeepsWorkingReferral(t *testing.T) {
 	u, parents := newUpstreamInTree(t)
 	for _, p := range parents {
-		u.recordFailure(1_000, p, false)
+		u.recordFailure(1_000, p)
 	}
 	u.setReferrals(1_000, []string{"10.0.1.1:7720"})
 	for range 3 {
@@ -112,7 +132,7 @@
 	u, parents := newUpstreamInTree(t)
 	now := clock.Millis(1_000)
 	for _, p := range parents {
-		u.recordFailure(now, p, true)
+		u.recordLag(now, p, now-maxLag-1)
 	}
 	got, _ := u.next(now)
 	require.Empty(t, got)
--- a/lab/pkg/updatefleet/failover_test.go
+++ b/lab/pkg/updatefleet/failover_test.go
@@ -119,3 +119,26 @@
 	require.LessOrEqual(t, calls/maxFailoverTime.Seconds(), float64(dataCentreCount)*4)
 	requireUpdates(t, f, f.Gateways, 200*time.Millisecond)
 }
+
+// Guards against a next leader that is overloaded because it comes late: once the state of all gateways lags, each of them
+// looks for the leader itself.
+func TestLateLeaderIsNotOverloaded(t *testing.T) {
+	f := startSyncedFleet(t)
+	leader := f.Leader()
+	leader.Kill()
+	var other *VM
+	for _, v := range f.VMs {
+		if v != leader {
+			other = v
+		}
+	}
+	other.Kill()
+	time.Sleep(3 * time.Second)
+	before := f.SubscribeCalls()
+	require.NoError(t, other.Start())
+	requireUpdates(t, f, f.Gateways, 3*maxFailoverTime)
+	time.Sleep(maxFailoverTime)
+	after := f.SubscribeCalls()
+	t.Logf("calls at the next leader: %v before, %v after", before, after)
+	require.LessOrEqual(t, after["answered"]-before["answered"], float64(gatewayCount)/2)
+}
