Send gateways back to their parents before the term's tasks begin

Cause: a new leader sends gateways that have parents back for a while, counted from the start of its tasks as the leader. Those begin some ten milliseconds after the election, and the calls that all gateways have waiting arrive in between: they were answered, since the last term's start, or none, was taken for a term that is long under way. Traced with a line for each answered call: eight gateways with parents came with "leader since" unset.

Now the fleet knows the term that it belongs to. Before that of the group has begun there, gateways with parents are sent back, and no view is sent: a VM that led before would have sent the one of its last term to a gateway that starts (the same cause elsewhere).

--- a/control/pkg/core/fleet.go
+++ b/control/pkg/core/fleet.go
@@ -39,7 +39,8 @@
 
 	mu       sync.Mutex
 	revision uint64
-	// leaderSince is when this VM's current term as the leader began.
+	// term is this VM's current or last term as the leader, and leaderSince is when it began.
+	term        uint64
 	leaderSince clock.Millis
 	// runnersKnown reports whether the list of runners was read since then.
 	runnersKnown bool
@@ -85,7 +86,7 @@
 func (f *fleet) startTerm(now clock.Millis, term uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.leaderSince = now
+	f.term, f.leaderSince = term, now
 	f.revision = term << 32
 	f.runnersKnown = false
 	f.runners = nil
@@ -202,11 +203,19 @@
 		float64(len(f.gateways)) < minKnownShare*float64(m.GetKnows())
 }
 
-// discoveringGateways reports whether this leader's term has just begun, so that it may not know all gateways.
-func (f *fleet) discoveringGateways(now clock.Millis) bool {
+// discoveringGateways reports whether this leader's term has just begun, or is about to, so that it may not know all
+// gateways.
+func (f *fleet) discoveringGateways(now clock.Millis, term uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now-f.leaderSince < gatewayDiscoveryPeriod
+	return f.term != term || now-f.leaderSince < gatewayDiscoveryPeriod
+}
+
+// hasBegun reports whether what is known here belongs to this VM's given term as the leader.
+func (f *fleet) hasBegun(term uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.term == term
 }
 
 // isLarge reports whether the fleet is so large that gateways subscribe to one another.
--- a/control/pkg/core/new_term_test.go
+++ b/control/pkg/core/new_term_test.go
@@ -9,6 +9,18 @@
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
+// Guards against a new leader that answers all gateways itself, or from its last term, because it was elected a moment before
+// its tasks as the leader begin.
+func TestTermThatHasNotBegunIsNotAnswered(t *testing.T) {
+	f := newFleet()
+	require.True(t, f.discoveringGateways(60_000, 4))
+	f.startTerm(60_000, 4)
+	require.True(t, f.hasBegun(4))
+	require.False(t, f.discoveringGateways(60_000+gatewayDiscoveryPeriod, 4))
+	require.True(t, f.discoveringGateways(60_000+gatewayDiscoveryPeriod, 8))
+	require.False(t, f.hasBegun(8))
+}
+
 // A VM leads, another one leads for some seconds, and the first one leads again. A runner has
 // begun to drain between the two terms of the first VM. The list from its earlier term doesn't
 // show that, so items would be sent to the runner after it stopped accepting new work.
--- a/control/pkg/core/updates.go
+++ b/control/pkg/core/updates.go
@@ -85,7 +85,7 @@
 		})
 	}
 	if !m.GetInsists() {
-		if m.GetHasParents() && c.fleet.discoveringGateways(now) {
+		if m.GetHasParents() && c.fleet.discoveringGateways(now, c.group.Term()) {
 			// The gateway's parents will receive updates from this leader soon. A new leader that
 			// had to send the full view to all gateways at once would be slow from the start.
 			return c.retryLater(attendEarly)
@@ -112,8 +112,9 @@
 
 // updatesFor returns the updates that a gateway lacks.
 func (c *Core) updatesFor(m *toucanhingev1.AttendRequest) *toucanhingev1.AttendResponse {
-	updates := &toucanhingev1.AttendResponse{
-		Fleet: c.fleet.view(c.config.Clock.Now(), m, c.digestPeer()), Confirmed: m.GetConfirm(),
+	updates := &toucanhingev1.AttendResponse{Confirmed: m.GetConfirm()}
+	if c.fleet.hasBegun(c.group.Term()) {
+		updates.Fleet = c.fleet.view(c.config.Clock.Now(), m, c.digestPeer())
 	}
 	if t := c.activeTable(); t != nil && t.Version > m.GetHaveVersion() {
 		updates.Table = t.WithoutDocument()
