Give a sidecar's state of a group its own file

lease_manager.go had grown with the lists of leases that aren't held; the type that keeps them and when they are due stands by itself now. startListing says what list did.

--- a/sidecar/pkg/work/lease_manager.go
+++ b/sidecar/pkg/work/lease_manager.go
@@ -56,33 +56,6 @@
 	actions   []Action
 }
 
-type groupState struct {
-	leasing      bool
-	nextLeaseAt  clock.Millis
-	renewing     bool
-	reporting    bool
-	pending      []*toucanhingev1.Completion
-	pendingSince clock.Millis
-	// duration is the duration of a lease in control's last answer.
-	duration clock.Millis
-	// Until listUntil, leases are listed regularly, also if there are none: control may count on a lease that isn't held
-	// here, and would take an item that runs alone under it for lost with this process.
-	listUntil  clock.Millis
-	nextListAt clock.Millis
-}
-
-// list lists the group's leases to control from now on. Control passes over a lease that it granted less than half of its
-// duration ago, so one list isn't enough.
-func (g *groupState) list(now clock.Millis) {
-	g.listUntil = now + 2*g.duration
-	g.nextListAt = min(max(g.nextListAt, now), now+g.duration/2)
-}
-
-// listDue reports whether the group's leases have to be listed although none needs a renewal.
-func (g *groupState) listDue(now clock.Millis) bool {
-	return now >= g.nextListAt && now < g.listUntil
-}
-
 type lease struct {
 	key       Key
 	expiresAt clock.Millis
@@ -166,16 +139,13 @@
 	return m.plan(now)
 }
 
-// assumedDuration is the duration of a lease before control has told it.
-const assumedDuration = clock.Millis(10_000)
-
 // minLeaseBackoff is the minimum delay before the next lease request to a group without
 // available items, whatever retry time its answer contains. It prevents a busy loop.
 const minLeaseBackoff = clock.Millis(20)
 
 func (m *LeaseManager) grant(now, sent, duration clock.Millis, key Key, item *toucanhingev1.LeasedItem) {
 	if now >= sent+duration {
-		m.groups[key.Group].list(now)
+		m.groups[key.Group].startListing(now)
 		return
 	}
 	if _, known := m.leases[key]; known {
@@ -191,7 +161,7 @@
 	m.beginStep(now)
 	m.groups[group].leasing = false
 	m.groups[group].nextLeaseAt = now + failureBackoff
-	m.groups[group].list(now)
+	m.groups[group].startListing(now)
 	return m.plan(now)
 }
 
@@ -278,7 +248,7 @@
 	for key, l := range m.leases {
 		if now >= l.expiresAt {
 			m.dropLease(key)
-			m.groups[key.Group].list(now)
+			m.groups[key.Group].startListing(now)
 		}
 	}
 }
