Keep a gateway alive that reads its sums with an old time

What callers saw: a gateway ended with a panic (index out of range [-1]) and its open streams broke off.

Cause: the exchange takes the time and then waits for its lock. If the process is frozen or starved for more than 125 ms there, and a report arrives first, the intervals of the sum begin later than that time. The first wanted one is -1, and with nobody returning the loop over empty intervals read before the start of the list.

Evidence: the stack of both gateways, and a test that panics before. Ruled out: clocks set back. Elsewhere: the age of the sum could be negative for the same reason; the counts of returning callers and the forecast keep within their lists.

The fault is as old as the exchange of contention.

--- a/common/pkg/contention/table.go
+++ b/common/pkg/contention/table.go
@@ -239,7 +239,7 @@
 	}
 	v := View{Service: y.service(now), Gateways: y.gateways}
 	if len(y.demands) > 0 {
-		v.Age = now - y.madeAt
+		v.Age = max(now-y.madeAt, 0)
 	}
 	return v
 }
--- a/common/pkg/contention/table_test.go
+++ b/common/pkg/contention/table_test.go
@@ -55,6 +55,23 @@
 	}
 }
 
+// Guards against a gateway that panics after it was frozen: it reads the sum with a time from before the freeze, while reports
+// have arrived since.
+func TestViewIsReadWithTimeBeforeNewestReport(t *testing.T) {
+	for _, returning := range [][]int{nil, {3, 2}} {
+		for _, frozen := range []clock.Millis{1, ReturnInterval / 2, ReturnInterval, MaxReturning * ReturnInterval, 60_000} {
+			table := New()
+			s := demandOf(7, 4)
+			s.Returning = returning
+			table.Apply(start, Update{Source: "other", Epoch: 1, Sequence: 1, Report: reportOf(start, s)})
+			v := table.View(start-frozen, service)
+			require.Equal(t, returning, v.Returning)
+			require.Equal(t, 4, v.Teams[0].Demand)
+			require.Zero(t, v.Age)
+		}
+	}
+}
+
 // A gateway restarts. Its old demand would count in addition to the new one if it weren't replaced,
 // and a late datagram of the old process would bring it back.
 func TestRestartedGatewayReplacesItsReport(t *testing.T) {
--- a/common/pkg/contention/tally.go
+++ b/common/pkg/contention/tally.go
@@ -95,14 +95,15 @@
 	}
 }
 
-// returningFrom returns the counts of the intervals that start now.
+// returningFrom returns the counts of the intervals that start now. The caller's time may be earlier than that of the newest
+// report, if its process was frozen after the time was taken.
 func (t *tally) returningFrom(now clock.Millis) []int {
-	first := int((now+ReturnInterval/2)/ReturnInterval - t.firstInterval)
+	first := max(int((now+ReturnInterval/2)/ReturnInterval-t.firstInterval), 0)
 	end := min(first+MaxReturning, len(t.returning))
 	for end > first && t.returning[end-1] == 0 {
 		end--
 	}
-	if first < 0 || first >= end {
+	if first >= end {
 		return nil
 	}
 	list := make([]int, end-first)
