Poll the leader without failing a test that has ended

The panic ended the run of the package and hid what its other tests would have said.

Conditions now get the VM that leads, or aren't called while none does. The checks and their limits are as before; a poll comes every 10 ms in all of them, where some had 20 ms.

--- a/control/pkg/core/cluster_test.go
+++ b/control/pkg/core/cluster_test.go
@@ -149,19 +149,34 @@
 func (cl *cluster) leader() *vm {
 	cl.t.Helper()
 	var found *vm
+	cl.eventually(func(leader *vm) bool {
+		found = leader
+		return true
+	}, "no VM leads")
+	return found
+}
+
+// eventually polls a condition of the VM that leads. A condition may still run after the test has failed, so it must not call
+// methods that fail the test.
+func (cl *cluster) eventually(condition func(leader *vm) bool, failure string) {
+	cl.t.Helper()
 	require.Eventually(cl.t, func() bool {
-		for _, v := range cl.vms {
-			if v.core == nil {
-				continue
-			}
-			if _, _, self := v.core.group.Leader(); self && v.core.confirmRead(context.Background()) == nil {
-				found = v
-				return true
-			}
+		leader := cl.currentLeader()
+		return leader != nil && condition(leader)
+	}, waitTimeout, 10*time.Millisecond, "%s: %v", failure, cl)
+}
+
+// currentLeader returns the VM that leads and can confirm it with a majority, or nil.
+func (cl *cluster) currentLeader() *vm {
+	for _, v := range cl.vms {
+		if v.core == nil {
+			continue
 		}
-		return false
-	}, waitTimeout, 10*time.Millisecond, "no VM leads: %v", cl)
-	return found
+		if _, _, self := v.core.group.Leader(); self && v.core.confirmRead(context.Background()) == nil {
+			return v
+		}
+	}
+	return nil
 }
 
 // String returns each VM's view of the group, for failure messages.
@@ -201,15 +216,20 @@
 	}
 }
 
-// replaceTable sends a table to the leader until it is acknowledged.
+// replaceTable sends the test's table to the leader until it is acknowledged.
 func (cl *cluster) replaceTable(version uint64) {
 	cl.t.Helper()
-	require.Eventually(cl.t, func() bool {
+	cl.replaceTableWith(testTable(version))
+}
+
+func (cl *cluster) replaceTableWith(table *toucanhingev1.RoutingTable) {
+	cl.t.Helper()
+	cl.eventually(func(leader *vm) bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		_, err := cl.leader().core.ReplaceTable(ctx, testTable(version))
+		_, err := leader.core.ReplaceTable(ctx, table)
 		return err == nil
-	}, waitTimeout, 20*time.Millisecond)
+	}, "table not replaced")
 }
 
 func (cl *cluster) requireTable(version uint64) {
@@ -226,9 +246,9 @@
 	for _, v := range want {
 		identities[v.core.identity] = true
 	}
-	require.Eventually(cl.t, func() bool {
+	cl.eventually(func(leader *vm) bool {
 		count := 0
-		for _, r := range cl.leader().core.group.Status().GetReplicas() {
+		for _, r := range leader.core.group.Status().GetReplicas() {
 			if !r.GetVoter() {
 				continue
 			}
@@ -238,20 +258,20 @@
 			count++
 		}
 		return count == len(want)
-	}, waitTimeout, 20*time.Millisecond, "unexpected voters: %v", cl)
+	}, "unexpected voters")
 }
 
 // waitForStandby waits until a VM is a member without a vote that has the whole log.
 func (cl *cluster) waitForStandby(v *vm) {
 	cl.t.Helper()
-	require.Eventually(cl.t, func() bool {
-		for _, m := range cl.leader().core.members() {
+	cl.eventually(func(leader *vm) bool {
+		for _, m := range leader.core.members() {
 			if m.Name == v.address && !m.Voter && m.Lag == 0 {
 				return true
 			}
 		}
 		return false
-	}, waitTimeout, 20*time.Millisecond)
+	}, v.name+" is no standby")
 }
 
 func submit(ctx context.Context, c *control.Client, job string) (toucanhingev1.SubmitOutcome, error) {
--- a/control/pkg/core/contended_service_test.go
+++ b/control/pkg/core/contended_service_test.go
@@ -62,10 +62,7 @@
 	wire := testTable(1)
 	wire.Keyed = true
 	wire.Teams = []*toucanhingev1.Team{{Name: "a", Rate: 2}, {Name: "b", Weight: proto.Float64(0.5)}}
-	require.Eventually(t, func() bool {
-		_, err := cl.leader().core.ReplaceTable(context.Background(), wire)
-		return err == nil
-	}, waitTimeout, 20*time.Millisecond)
+	cl.replaceTableWith(wire)
 	leader, name := cl.leader(), wire.GetServices()[0].GetName()
 	exchange, err := digest.Listen(digest.Config{
 		Address: "127.0.0.1:0", Source: "g", Clock: clock.System(), Logger: log.NewNopLogger(), Version: func() uint64 { return 1 },
--- a/control/pkg/core/leader_discovery_test.go
+++ b/control/pkg/core/leader_discovery_test.go
@@ -32,10 +32,9 @@
 	cl.startAll()
 	cl.replaceTable(1)
 	outside := cl.vms[4]
-	require.Eventually(t, func() bool {
-		cl.leader()
+	cl.eventually(func(*vm) bool {
 		return len(loadKnownMembers(outside.core.knownMembers.path, outside.core.config.Logger).addresses) > 0
-	}, waitTimeout, 20*time.Millisecond)
+	}, "no members are known")
 	for _, v := range cl.vms {
 		v.kill()
 	}
--- a/control/pkg/core/service_test.go
+++ b/control/pkg/core/service_test.go
@@ -56,9 +56,9 @@
 	cl.startAll()
 	cl.replaceTable(1)
 	cl.waitForRegistered(5)
-	require.Eventually(t, func() bool {
+	cl.eventually(func(leader *vm) bool {
 		members := map[string]bool{}
-		for _, r := range cl.leader().core.group.Status().GetReplicas() {
+		for _, r := range leader.core.group.Status().GetReplicas() {
 			members[r.GetName()] = true
 		}
 		for _, v := range cl.vms {
@@ -66,10 +66,10 @@
 				continue
 			}
 			_, err := v.core.ReadTable(context.Background())
-			return IsNotLeader(err) && v.core.Leader() == cl.leader().address
+			return IsNotLeader(err) && v.core.Leader() == leader.address
 		}
 		return false
-	}, waitTimeout, 20*time.Millisecond)
+	}, "no VM outside the group names the leader")
 }
 
 // A gateway that is up to date waits for updates and has to receive a new table at once.
--- a/control/pkg/core/team_keys_test.go
+++ b/control/pkg/core/team_keys_test.go
@@ -62,20 +62,14 @@
 		}
 		return wire
 	}
-	replaceTable := func(wire *toucanhingev1.RoutingTable) {
-		require.Eventually(t, func() bool {
-			_, err := cl.leader().core.ReplaceTable(context.Background(), wire)
-			return err == nil
-		}, waitTimeout, 20*time.Millisecond)
-	}
-	replaceTable(table(1, "a1", "a2"))
+	cl.replaceTableWith(table(1, "a1", "a2"))
 	core, ctx := cl.leader().core, context.Background()
 	submitted, err := core.SubmitJob(ctx, connect.NewRequest(&toucanhingev1.SubmitJobRequest{
 		Job: "j", Host: "h", Target: "/j/x", Key: apikey.Bytes("a1"), Items: []*toucanhingev1.JobItem{{Id: "i", Target: "/x", Body: []byte("body")}},
 	}))
 	require.NoError(t, err)
 	require.Equal(t, toucanhingev1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED, submitted.Msg.GetOutcome())
-	replaceTable(table(2, "a2"))
+	cl.replaceTableWith(table(2, "a2"))
 	for _, c := range []struct {
 		key           string
 		found, denied bool
@@ -127,10 +121,7 @@
 	wire := testTable(1)
 	wire.Keyed = true
 	wire.Teams = []*toucanhingev1.Team{{Name: "a", Keys: [][]byte{apikey.Bytes("a1"), apikey.Bytes("a2")}, Rate: 2, Burst: 1}, {Name: "b"}}
-	require.Eventually(t, func() bool {
-		_, err := cl.leader().core.ReplaceTable(context.Background(), wire)
-		return err == nil
-	}, waitTimeout, 20*time.Millisecond)
+	cl.replaceTableWith(wire)
 	core, ctx := cl.leader().core, context.Background()
 	_, err := core.SubmitJob(ctx, connect.NewRequest(&toucanhingev1.SubmitJobRequest{
 		Job: "j", Host: "h", Target: "/j/x", Key: apikey.Bytes("a1"), Items: []*toucanhingev1.JobItem{{Id: "i", Target: "/x", Tokens: 30}},
--- a/control/pkg/core/vm_loss_test.go
+++ b/control/pkg/core/vm_loss_test.go
@@ -100,10 +100,10 @@
 	retiring := cl.leader()
 	require.NoError(t, retiring.core.RetireVM(ctx, retiring.name))
 	require.NoError(t, cl.leader().core.RetireVM(ctx, retiring.name), "a repeated request must be acknowledged again")
-	require.Eventually(t, func() bool {
-		done, err := cl.leader().core.Retired(ctx, retiring.name)
+	cl.eventually(func(leader *vm) bool {
+		done, err := leader.core.Retired(ctx, retiring.name)
 		return err == nil && done
-	}, waitTimeout, 20*time.Millisecond)
+	}, "VM not retired")
 	retiring.kill()
 	cl.requireTable(1)
 	cl.replaceTable(2)
@@ -130,9 +130,9 @@
 // waitForRegistered waits until the core has registered the given number of VMs.
 func (cl *cluster) waitForRegistered(count int) {
 	cl.t.Helper()
-	require.Eventually(cl.t, func() bool {
+	cl.eventually(func(leader *vm) bool {
 		known := 0
-		cl.leader().core.machine.View(func(state *systemState) { known = len(state.VMs()) })
+		leader.core.machine.View(func(state *systemState) { known = len(state.VMs()) })
 		return known == count
-	}, waitTimeout, 20*time.Millisecond)
+	}, "VMs not registered")
 }
