Keep the vote of a VM whose replica answers

The leader, vm-2, then removed vm-1, which was running: its log had this entry and the others' didn't. Its new group was vm-0 and itself, so it needed the dead VM for a majority, and vm-1 couldn't be elected without vm-2, whose log was longer. Nothing ends this state but the return of vm-0.

Cause: the leader judged its members by their VMs' announcements alone. A member whose VM had never announced itself counted as silent at once, not from the leader's first moment on as the comment said, since only VMs that had been registered were looked up. Announcements have 250 ms each, so beside load the first can be late. The replicas' own contact, on which the leader's majority depends, was not asked.

Ruled out: an old announcement (3 s). The whole test was about a second old when vm-0 died, and vm-0, first in the order, would have been removed first.

Now a member in contact with the leader is never silent, and every member without an announcement counts as last seen when the term's tasks began. Operators see the contact of each replica in the group's state.

--- a/control/pkg/consensus/status.go
+++ b/control/pkg/consensus/status.go
@@ -1,10 +1,12 @@
 package consensus
 
-// MemberStatus is a member and the index up to which its log is synced, as far as the
-// leader knows.
+// MemberStatus is a member as far as the leader knows.
 type MemberStatus struct {
 	Member Member
-	Match  uint64
+	// Match is the index up to which the member's log is synced.
+	Match uint64
+	// InContact reports whether the member has responded to this leader, and last did so within the leader timeout.
+	InContact bool
 }
 
 // Status is a view of the state of a machine.
@@ -30,6 +32,7 @@
 		status := MemberStatus{Member: member}
 		if p := m.leaderState.progress[member.Name]; p != nil {
 			status.Match = p.match
+			status.InContact = p.responded && m.isLive(p)
 		} else if member.Name == m.config.Name {
 			status.Match = m.synced
 		}
--- a/control/pkg/core/leader.go
+++ b/control/pkg/core/leader.go
@@ -146,7 +146,7 @@
 	for _, r := range status.GetReplicas() {
 		lag := status.GetCommit() - min(r.GetMatch(), status.GetCommit())
 		members = append(members, repair.Member{
-			Name: r.GetName(), Address: r.GetAddress(), Identity: r.GetIdentity(), Voter: r.GetVoter(), Lag: lag,
+			Name: r.GetName(), Address: r.GetAddress(), Identity: r.GetIdentity(), Voter: r.GetVoter(), Lag: lag, InContact: r.GetInContact(),
 		})
 		addresses = append(addresses, r.GetAddress())
 	}
@@ -159,14 +159,17 @@
 func (c *Core) vms(leaderSince clock.Millis, members []repair.Member) []repair.VM {
 	byAddress := c.fleet.announcedVMs()
 	retiring := map[string]bool{}
-	member := map[string]bool{}
+	unseen := map[string]bool{}
 	for _, m := range members {
-		member[m.Name] = true
+		if _, seen := byAddress[m.Name]; !seen {
+			byAddress[m.Name] = announcedVM{identity: m.Identity, lastSeen: leaderSince}
+			unseen[m.Name] = true
+		}
 	}
 	c.machine.View(func(s *systemstate.State) {
 		for _, v := range s.VMs() {
-			if _, seen := byAddress[v.Address]; !seen && member[v.Address] {
-				byAddress[v.Address] = announcedVM{name: v.Name, identity: v.Identity, lastSeen: leaderSince}
+			if unseen[v.Address] {
+				byAddress[v.Address] = announcedVM{identity: v.Identity, lastSeen: leaderSince}
 			}
 			if byAddress[v.Address].identity == v.Identity {
 				retiring[v.Address] = v.Retiring
--- a/control/pkg/repair/repair.go
+++ b/control/pkg/repair/repair.go
@@ -17,8 +17,8 @@
 	Self string
 	// ToleratedLosses is the number of VMs that may be lost at the same time.
 	ToleratedLosses int
-	// UnresponsiveAfter is the time without a message after which a member is
-	// replaced, if another VM can replace it. It must exceed the time of a VM's
+	// UnresponsiveAfter is the time without an announcement after which a member is
+	// replaced, if its replica isn't in contact either and another VM can replace it. It must exceed the time of a VM's
 	// restart, so that a restarting VM is not replaced.
 	UnresponsiveAfter clock.Millis
 }
@@ -31,6 +31,9 @@
 	Voter    bool
 	// Lag is the number of committed entries that the member lacks.
 	Lag uint64
+	// InContact reports whether the member's replica responds to the leader. The vote of such a member counts, whether or not
+	// the announcements of its VM arrive.
+	InContact bool
 }
 
 // VM is a VM that has announced itself.
@@ -146,7 +149,7 @@
 	}
 	for _, m := range members {
 		v, known := vms[m.Name]
-		if m.Name == c.Self || known && c.responsive(now, v) {
+		if m.Name == c.Self || m.InContact || known && c.responsive(now, v) {
 			continue
 		}
 		if m.Voter && readyLearner || !m.Voter && spareVM {
--- a/control/pkg/repair/repair_test.go
+++ b/control/pkg/repair/repair_test.go
@@ -25,6 +25,11 @@
 	return Member{Name: name, Identity: "1", Lag: lag}
 }
 
+func inContact(m Member) Member {
+	m.InContact = true
+	return m
+}
+
 func vm(name string) VM { return VM{Name: name, Identity: "1", LastSeen: now} }
 
 func TestNextStep(t *testing.T) {
@@ -51,6 +56,8 @@
 		{"unresponsive voter, learner has caught up", append(three, learner("d", 0)), []VM{vm("a"), vm("b"), unresponsive("c"), vm("d")}, Remove, "c"},
 		{"unresponsive learner, another VM available", append(three, learner("d", 0)), []VM{vm("a"), vm("b"), vm("c"), unresponsive("d"), vm("e")}, Remove, "d"},
 		{"voter whose VM never announced itself", append(three, learner("d", 0)), []VM{vm("a"), vm("b"), vm("d")}, Remove, "c"},
+		{"voter in contact whose VM never announced itself", []Member{voter("a"), inContact(voter("b")), voter("c"), learner("d", 0)}, []VM{vm("a"), vm("d"), vm("c")}, NoStep, ""},
+		{"voter in contact with old announcements", []Member{voter("a"), inContact(voter("b")), voter("c"), learner("d", 0)}, []VM{vm("a"), unresponsive("b"), unresponsive("c"), vm("d")}, Remove, "c"},
 		{"leader is never unresponsive to itself", append(three, learner("d", 0)), []VM{unresponsive("a"), vm("b"), vm("c"), vm("d")}, NoStep, ""},
 		{"retiring voter, no other VM", three, []VM{vm("a"), vm("b"), retiring("c")}, NoStep, ""},
 		{"retiring voter, new VM available", three, []VM{vm("a"), vm("b"), retiring("c"), vm("d")}, AddLearner, "d"},
--- a/control/pkg/replica/api.go
+++ b/control/pkg/replica/api.go
@@ -84,7 +84,7 @@
 	for _, m := range s.Members {
 		state.Replicas = append(state.Replicas, &toucanhingev1.ReplicaState{
 			Name: m.Member.Name, Address: m.Member.Address, Voter: m.Member.Voter, Match: m.Match,
-			Identity: m.Member.Identity,
+			Identity: m.Member.Identity, InContact: m.InContact,
 		})
 	}
 	return state
