Refuse a change of members that leaves no live majority

A membership is in force once it is in a log, so the leader stepped down, and neither it nor the removed voter could be elected: no leader for good, with one VM lost of three.

A leader now refuses a change (no_live_majority) while no majority of the voters that it leaves has responded to it in its term and within its leader timeout. The caller may repeat it. The test below fails before (the group has no leader) and passes after; it also shows that the promotion of a learner and the removal of the lost voter still go through.

TestMembershipChangeWaitsForCurrentTermCommit removed a voter while the third had never responded to the leader, which is the case refused now. The third responds in it before the change; what it checks is as before.

--- a/control/pkg/consensus/actions.go
+++ b/control/pkg/consensus/actions.go
@@ -43,6 +43,8 @@
 	ReasonMemberUnknown Reason = "member_unknown"
 	// ReasonIsLeader means that the leader can't be removed before a leadership transfer.
 	ReasonIsLeader Reason = "is_leader"
+	// ReasonNoLiveMajority means that the voters after the change that are in contact aren't a majority.
+	ReasonNoLiveMajority Reason = "no_live_majority"
 	// ReasonNoTarget means that no other voter became the leader.
 	ReasonNoTarget Reason = "no_target"
 )
--- a/control/pkg/consensus/change.go
+++ b/control/pkg/consensus/change.go
@@ -22,6 +22,10 @@
 		m.refuse(e.ID, reason)
 		return
 	}
+	if !m.hasMajorityInContact(members) {
+		m.refuse(e.ID, ReasonNoLiveMajority)
+		return
+	}
 	entry := Entry{Index: m.log.last() + 1, Term: m.state.Term, Kind: EntryMembers, Data: members.Encode()}
 	m.appendEntries(entry)
 	m.out.Accepted = append(m.out.Accepted, Accepted{ID: e.ID, Index: entry.Index, Term: entry.Term})
@@ -29,6 +33,18 @@
 	m.broadcast()
 }
 
+// hasMajorityInContact reports whether a majority of these members' voters is in contact with this leader. A change that takes
+// effect without one may never be committed, and the removed voter, which lacks its entry, can't be elected either.
+func (m *Machine) hasMajorityInContact(members Members) bool {
+	inContact := 0
+	for _, member := range members {
+		if member.Voter && (member.Name == m.config.Name || m.inContact(m.leaderState.progress[member.Name])) {
+			inContact++
+		}
+	}
+	return inContact >= members.Quorum()
+}
+
 func (m *Machine) changedMembers(e ChangeMembers) (Members, Reason) {
 	current := m.members()
 	found, exists := current.Find(e.Member.Name)
--- a/control/pkg/consensus/leader.go
+++ b/control/pkg/consensus/leader.go
@@ -204,6 +204,9 @@
 	return m.now-p.lastContact <= limit
 }
 
+// inContact reports whether the member has responded to this leader and is live.
+func (m *Machine) inContact(p *progress) bool { return p != nil && p.responded && m.isLive(p) }
+
 func (m *Machine) broadcast() {
 	m.forEachPeer(m.sendAppend)
 }
--- a/control/pkg/consensus/machine_test.go
+++ b/control/pkg/consensus/machine_test.go
@@ -11,6 +11,31 @@
 
 // newFaultlessSim returns a cluster with a leader. It has no faults except those that the
 // test injects.
+// Guards against a leader that removes a voter while another one is lost: no majority of the rest could ever commit that,
+// and the removed voter couldn't be elected without it.
+func TestChangeThatLeavesNoLiveMajorityIsRefused(t *testing.T) {
+	s := newFaultlessSim(t, 3, 1)
+	leader, lost, sound := s.leader(), s.followers()[0], s.followers()[1]
+	s.step(leader, ChangeMembers{ID: s.id(), Kind: AddLearner, Member: Member{Name: "n3", Identity: "n3-disk0"}})
+	s.cutOff(lost, true, true)
+	s.runWithoutFaults(1000)
+	require.Equal(t, RoleLeader, leader.machine.Role())
+	last := leader.machine.Last()
+	for _, change := range []ChangeMembers{
+		{ID: s.id(), Kind: Remove, Member: Member{Name: sound.name}},
+		{ID: s.id(), Kind: Promote, Member: Member{Name: "n3"}},
+		{ID: s.id(), Kind: Remove, Member: Member{Name: lost.name}},
+	} {
+		s.step(leader, change)
+		s.runWithoutFaults(1000)
+		require.Equal(t, RoleLeader, leader.machine.Role())
+		require.Equal(t, leader.machine.Last(), leader.machine.Commit(), "no entry may wait for a majority that is lost")
+	}
+	require.Equal(t, last+2, leader.machine.Last(), "the learner was promoted and the lost voter removed")
+	require.True(t, leader.machine.Members().Has(sound.name, sound.identity))
+	require.False(t, leader.machine.Members().Has(lost.name, lost.identity))
+}
+
 func newFaultlessSim(t *testing.T, size, spares int) *sim {
 	t.Helper()
 	s := newSim(size, spares, rand.New(rand.NewPCG(1, 0)).IntN)
--- a/control/pkg/consensus/safeguard_test.go
+++ b/control/pkg/consensus/safeguard_test.go
@@ -77,6 +77,7 @@
 	s, leader, other := newLeader(t)
 	leader.machine.commit = 2
 	change := ChangeMembers{ID: 1, Kind: Remove, Member: Member{Name: other.name}}
+	s.step(leader, received(s.nodes[2], leader, Message{Kind: KindHeartbeatResponse, Term: 3}))
 	actions := leader.machine.Step(leader.clock, change)
 	require.Equal(t, []Refused{{ID: 1, Reason: ReasonChangePending}}, actions.Refused)
 	s.step(leader, received(other, leader, Message{Kind: KindAppendResponse, Term: 3, Index: 3}))
--- a/control/pkg/consensus/status.go
+++ b/control/pkg/consensus/status.go
@@ -32,7 +32,7 @@
 		status := MemberStatus{Member: member}
 		if p := m.leaderState.progress[member.Name]; p != nil {
 			status.Match = p.match
-			status.InContact = p.responded && m.isLive(p)
+			status.InContact = m.inContact(p)
 		} else if member.Name == m.config.Name {
 			status.Match = m.synced
 		}
