Replace a silent voter before it is removed

The leader removed a voter that it held for lost first and promoted the learner afterwards.

Now the learner is promoted first, and a silent voter is removed only while the number of voters is even. One voter less of an even number tolerates as many losses, whether the judgement was right or wrong; of an odd number it tolerates one less if the voter was sound. Voters that are silent no longer count as the ones that remain when a VM retires or a learner is promoted.

--- a/control/pkg/repair/repair.go
+++ b/control/pkg/repair/repair.go
@@ -83,6 +83,9 @@
 // learner that has the log already, without copying the log first.
 const standbyLearners = 1
 
+// minRedundantVoters is the smallest number of voters that hold every acknowledged entry twice.
+const minRedundantVoters = 2
+
 // Next returns the next step.
 func (c Config) Next(now clock.Millis, members []Member, vms []VM) Step {
 	byName := map[string]VM{}
@@ -90,7 +93,7 @@
 		byName[v.Name] = v
 	}
 	for _, decide := range []func(clock.Millis, []Member, map[string]VM) Step{
-		c.removeLostDisk, c.promote, c.removeUnresponsive, c.removeRetiring, c.addLearner,
+		c.removeLostDisk, c.removeUnresponsive, c.promote, c.removeRetiring, c.addLearner,
 	} {
 		if step := decide(now, members, byName); step.Kind != NoStep {
 			return step
@@ -111,63 +114,75 @@
 	return Step{}
 }
 
-// promote makes a learner a voter while there are too few voters.
+// removeUnresponsive removes an unresponsive voter while the number of voters is even, and an unresponsive learner if another
+// VM can replace it. Of an even number, one voter less tolerates as many losses, even if that voter was only slow; of an odd
+// number, a replacement is promoted first.
+func (c Config) removeUnresponsive(now clock.Millis, members []Member, vms map[string]VM) Step {
+	spareVM := false
+	for name, v := range vms {
+		spareVM = spareVM || !slices.ContainsFunc(members, func(m Member) bool { return m.Name == name }) && c.usable(now, v)
+	}
+	voters := 0
+	for _, m := range members {
+		if m.Voter {
+			voters++
+		}
+	}
+	mayLoseVoter := voters%2 == 0 && voters > minRedundantVoters
+	for _, m := range members {
+		if !c.silent(now, m, vms) {
+			continue
+		}
+		if m.Voter && mayLoseVoter || !m.Voter && spareVM {
+			return Step{Kind: Remove, Member: m, Reason: "silent"}
+		}
+	}
+	return Step{}
+}
+
+// promote makes a learner a voter while too few voters are usable.
 func (c Config) promote(now clock.Millis, members []Member, vms map[string]VM) Step {
-	if c.remainingVoters(members, vms) >= c.Voters() {
+	if c.usableVoters(now, members, vms) >= c.Voters() {
 		return Step{}
 	}
 	for _, m := range members {
 		v, known := vms[m.Name]
-		if !m.Voter && m.Lag == 0 && known && !v.Retiring && c.responsive(now, v) {
+		if !m.Voter && m.Lag == 0 && known && c.usable(now, v) {
 			return Step{Kind: Promote, Member: m, Reason: "too-few-voters"}
 		}
 	}
 	return Step{}
 }
 
-// remainingVoters returns the number of voters that don't retire.
-func (c Config) remainingVoters(members []Member, vms map[string]VM) int {
+// usableVoters returns the number of voters that neither are silent nor retire.
+func (c Config) usableVoters(now clock.Millis, members []Member, vms map[string]VM) int {
 	count := 0
 	for _, m := range members {
-		if m.Voter && !vms[m.Name].Retiring {
+		if m.Voter && !vms[m.Name].Retiring && !c.silent(now, m, vms) {
 			count++
 		}
 	}
 	return count
 }
 
-// removeUnresponsive removes an unresponsive voter if a learner without lag can replace
-// it, and an unresponsive learner if another VM can replace it.
-func (c Config) removeUnresponsive(now clock.Millis, members []Member, vms map[string]VM) Step {
-	readyLearner := slices.ContainsFunc(members, func(m Member) bool {
-		v, known := vms[m.Name]
-		return !m.Voter && m.Lag == 0 && known && !v.Retiring && c.responsive(now, v)
-	})
-	spareVM := false
-	for name, v := range vms {
-		spareVM = spareVM || !slices.ContainsFunc(members, func(m Member) bool { return m.Name == name }) && c.usable(now, v)
+// silent reports whether neither the member's replica nor its VM has been heard of lately.
+func (c Config) silent(now clock.Millis, m Member, vms map[string]VM) bool {
+	if m.Name == c.Self || m.InContact {
+		return false
 	}
-	for _, m := range members {
-		v, known := vms[m.Name]
-		if m.Name == c.Self || m.InContact || known && c.responsive(now, v) {
-			continue
-		}
-		if m.Voter && readyLearner || !m.Voter && spareVM {
-			return Step{Kind: Remove, Member: m, Reason: "silent"}
-		}
-	}
-	return Step{}
+	v, known := vms[m.Name]
+	return !known || !c.responsive(now, v)
 }
 
 // removeRetiring removes a retiring member once enough voters remain without it. A
 // retiring leader transfers its leadership first.
-func (c Config) removeRetiring(_ clock.Millis, members []Member, vms map[string]VM) Step {
+func (c Config) removeRetiring(now clock.Millis, members []Member, vms map[string]VM) Step {
 	for _, m := range members {
 		if !vms[m.Name].Retiring {
 			continue
 		}
 		switch {
-		case m.Voter && c.remainingVoters(members, vms) < c.Voters():
+		case m.Voter && c.usableVoters(now, members, vms) < c.Voters():
 		case m.Name == c.Self:
 			return Step{Kind: TransferLeadership, Member: m, Reason: "retiring"}
 		default:
