Count what other gateways start of a flooding team's share

All that the flooding team sent in its steady state was over its share, yet went into the queues of runners: of the tolerance that it has lost, the part for queues was still added to its share, and it ran 35 above a share of 130 for as long as it flooded. With state 50 ms old it swung between 90 and 170 with a period of one hold: every gateway used the whole rest of the share that old reports showed, several times over, and these requests ended together. And while a slot seemed free beyond the reserve, every request of the flood took it; the reserve counted only the starts of a team at its share.

Now a flooding team over its share gets no place in a queue; what the others can have started since their reports counts, up to their part of the share; and the reserve covers all that the flood asks for within the age of the loads. A gateway that runs none of the team's requests starts one.

--- a/gateway/pkg/fairshare/flood.go
+++ b/gateway/pkg/fairshare/flood.go
@@ -38,8 +38,9 @@
 	unseen := rate * float64(in.LoadAge)
 	headroom := min(unseen+variation(rate, in.LoadAge+view.Age), float64(flooding.Demand))
 	s.floodLevel = maxmin.Divide(max(capacity-headroom, 0), s.claims)
-	// Requests of flooding teams that other gateways have just started aren't visible either.
-	free := headroom + float64(flooding.Running)/float64(in.Hold)*float64(in.LoadAge)
+	// While a slot seems free, every request of a flooding team takes one, and those that the other gateways have just started
+	// aren't visible.
+	free := headroom + float64(flooding.Demand)/float64(in.Hold)*float64(in.LoadAge)
 	if s.result.Basis == EqualPart {
 		free *= float64(max(in.Gateways, 1))
 	}
--- a/gateway/pkg/fairshare/shares.go
+++ b/gateway/pkg/fairshare/shares.go
@@ -37,7 +37,9 @@
 	known     knownReports
 	weights   *Weights
 	updatedAt clock.Millis
-	level     maxmin.Level
+	// hold is the mean time for which a request holds its slot, 0 if it is unknown.
+	hold  clock.Millis
+	level maxmin.Level
 	// floodLevel is the level for teams that flood. It leaves room for requests of the others.
 	floodLevel maxmin.Level
 	teams      map[quota.ID]teamTotal
@@ -51,8 +53,9 @@
 type teamTotal struct {
 	// others is the part of the running requests at other gateways, own that at this gateway.
 	others, own int
-	demand      int
-	weight      float64
+	// demand is the demand at all gateways, ownDemand that at this one.
+	demand, ownDemand int
+	weight            float64
 	// floods is set if the team asks for much more per weight than the others.
 	floods bool
 }
@@ -65,7 +68,7 @@
 // Update computes the shares.
 func (s *Shares) Update(now clock.Millis, in Input) {
 	view, basis := s.known.resolve(now, in.View)
-	s.weights, s.updatedAt = in.Weights, now
+	s.weights, s.hold, s.updatedAt = in.Weights, in.Hold, now
 	s.result = Status{Capacity: float64(in.Capacity), Basis: basis, Gateways: view.Gateways, Age: view.Age}
 	if basis == EqualPart {
 		s.result.Capacity /= float64(max(in.Gateways, 1))
@@ -75,7 +78,7 @@
 	}
 	clear(s.teams)
 	for _, d := range in.Own {
-		s.teams[d.Team] = teamTotal{own: d.Running, demand: d.Demand}
+		s.teams[d.Team] = teamTotal{own: d.Running, demand: d.Demand, ownDemand: d.Demand}
 	}
 	for _, d := range view.Teams {
 		total := s.teams[d.Team]
@@ -128,16 +131,35 @@
 		return r
 	}
 	if total.floods {
-		r.Share = s.floodLevel.Share(total.weight)
-	} else {
-		r.Share = s.level.Share(total.weight)
+		return s.floodStatus(r, total, own)
 	}
+	r.Share = s.level.Share(total.weight)
 	r.InForce = !math.IsInf(r.Share, 1)
-	limit, margin := r.Share, tolerance*r.Share+math.Sqrt(r.Share)
-	if !total.floods {
-		limit += margin
-	}
-	r.Over = r.InForce && float64(r.Running) >= max(limit, minShare)
-	r.NoQueue = r.Over && float64(r.Running) >= max(limit+queueMargin*margin, minShare)
+	margin := tolerance*r.Share + math.Sqrt(r.Share)
+	r.Over = r.InForce && float64(r.Running) >= max(r.Share+margin, minShare)
+	r.NoQueue = r.Over && float64(r.Running) >= max(r.Share+(1+queueMargin)*margin, minShare)
+	return r
+}
+
+// floodStatus returns the position of a team that floods. It has no tolerance.
+func (s *Shares) floodStatus(r Status, total teamTotal, own int) Status {
+	r.Share = s.floodLevel.Share(total.weight)
+	r.InForce = !math.IsInf(r.Share, 1)
+	r.Over = r.InForce && math.Max(float64(r.Running), s.probablyRunning(r, total, own)) >= max(r.Share, minShare)
+	r.NoQueue = r.Over
 	return r
 }
+
+// probablyRunning returns how many requests of a team that floods run if the other gateways have started all that came since
+// their reports, up to their part of the share. Without this, all of them use the rest of the share that they report, several
+// times over, and the requests end together a hold later.
+func (s *Shares) probablyRunning(r Status, total teamTotal, own int) float64 {
+	if s.hold <= 0 {
+		return float64(r.Running)
+	}
+	others := float64(total.demand - total.ownDemand)
+	started := others / float64(s.hold) * float64(r.Age)
+	// The request that is decided on isn't part of the demand yet.
+	part := r.Share * others / float64(total.demand+1)
+	return float64(own) + min(float64(total.others)+started, part)
+}
--- a/gateway/pkg/fairshare/status.go
+++ b/gateway/pkg/fairshare/status.go
@@ -6,8 +6,8 @@
 type Status struct {
 	// InForce is set if the capacity is divided among the teams and the share of this one is finite.
 	InForce bool
-	// Over is set if the team's running requests have reached its share and, unless the team floods, the tolerance
-	// above it.
+	// Over is set if the team's running requests have reached its share and the tolerance above it. A team that floods has no
+	// tolerance, and those that other gateways have probably started since their reports count.
 	Over bool
 	// NoQueue is set if the team is so far over its share that it may not even use the first positions in the queues
 	// of runners.
