--- a/control/pkg/core/contended_service_test.go
+++ b/control/pkg/core/contended_service_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"testing"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
@@ -63,7 +62,7 @@
 	wire.Keyed = true
 	wire.Teams = []*toucanhingev1.Team{{Name: "a", Rate: 2}, {Name: "b", Weight: proto.Float64(0.5)}}
 	cl.replaceTableWith(wire)
-	leader, name := cl.leader(), wire.GetServices()[0].GetName()
+	name := wire.GetServices()[0].GetName()
 	exchange, err := digest.Listen(digest.Config{
 		Address: "127.0.0.1:0", Source: "g", Clock: clock.System(), Logger: log.NewNopLogger(), Version: func() uint64 { return 1 },
 	})
@@ -73,28 +72,35 @@
 			Name: name, Contended: true, Teams: []contention.TeamDemand{{Team: contention.TeamID("a"), Running: 3, Demand: 11}},
 		}}}
 	})
-	exchange.SetPeers([]digest.Peer{{Address: leader.address, Core: true}})
+	var peers []digest.Peer
+	for _, v := range cl.vms {
+		peers = append(peers, digest.Peer{Address: v.address, Core: true})
+	}
+	exchange.SetPeers(peers)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go exchange.Run(ctx)
-	list := func() []*toucanhingev1.TeamStatus {
+	var teams []*toucanhingev1.TeamStatus
+	// The leader may change meanwhile; the next one knows the contention from the next digest.
+	contended := func(leader *vm) bool {
 		answer, err := leader.core.ListTeams(ctx, connect.NewRequest(&toucanhingev1.ListTeamsRequest{}))
-		require.NoError(t, err)
-		return answer.Msg.GetTeams()
+		if err != nil {
+			return false
+		}
+		teams = answer.Msg.GetTeams()
+		return len(teams) == 2 && len(teams[0].GetContention()) == 1
 	}
-	require.Eventually(t, func() bool { return len(list()[0].GetContention()) == 1 }, waitTimeout, 20*time.Millisecond)
-	teams := list()
+	cl.eventually(contended, "contention isn't listed")
 	require.Equal(t, []float64{2, 0.5}, []float64{teams[0].GetWeight(), teams[1].GetWeight()})
 	part := teams[0].GetContention()[0]
 	require.Equal(t, []uint32{3, 11}, []uint32{part.GetRunning(), part.GetDemand()})
 	require.Nil(t, part.Share, "the only runner is draining")
 	require.Empty(t, teams[1].GetContention())
 	// The directory is read again meanwhile.
-	require.Eventually(t, func() bool {
+	cl.eventually(func(leader *vm) bool {
 		leader.core.fleet.setRunners([]*toucanhingev1.Runner{{Id: "r", Service: name, Slots: 4}, {Id: "other", Service: "other", Slots: 9}})
-		parts := list()[0].GetContention()
-		return len(parts) == 1 && parts[0].GetShare() == 4
-	}, waitTimeout, 20*time.Millisecond, "the slots of the service's runners are divided")
+		return contended(leader) && teams[0].GetContention()[0].GetShare() == 4
+	}, "the slots of the service's runners aren't divided")
 }
 
 // A table with an invalid weight must be refused with the team's name, and must not replace the one in force.
