--- a/control/pkg/replica/loop.go
+++ b/control/pkg/replica/loop.go
@@ -183,10 +183,14 @@
 			"cause", "identity or settings differ from the pinned ones; a replaced disk must be removed, added and promoted")
 	}
 	if actions.Persist != nil {
+		startedAt := time.Now()
 		if err := writeJSON(formationPath(g.config.Folder), actions.Persist); err != nil {
 			g.fail(err)
 			return
 		}
+		if took := time.Since(startedAt); took >= slowSyncThreshold {
+			_ = level.Warn(g.logger).Log("event", "slow_sync", "took_ms", took.Milliseconds(), "formation", true)
+		}
 	}
 	if len(actions.Formed) > 0 {
 		_ = level.Info(g.logger).Log("event", "group_formed", "members", len(actions.Formed))
