Log the shared parts of the prompts of calls whose runner crashed

Our lines couldn't tell whether the requests that met a crash had a part of their prompts in common: no program read the parts. Nothing decides by them yet.

--- a/common/pkg/logs/logs.go
+++ b/common/pkg/logs/logs.go
@@ -19,6 +19,7 @@
 	KeyTerm        = "term"
 	KeyGroup       = "group"
 	KeyFingerprint = "content"
+	KeyParts       = "parts"
 	KeyError       = "error"
 	KeyEvent       = "event"
 )
--- a/common/pkg/runner/runner.go
+++ b/common/pkg/runner/runner.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/prompt"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
@@ -74,6 +75,20 @@
 	// Refuses reports whether a runner refuses new connections, as after a crash until its
 	// restart. It is nil if that can't be determined.
 	Refuses func(ctx context.Context, r *toucanhingev1.Runner) bool
+	// Parts returns the parts of the prompt that a call's header lists. It is nil if headers list none.
+	Parts func(header http.Header) ([]prompt.PartID, error)
+}
+
+// SharedParts returns the parts of a call's prompt that other requests may share.
+func (c Client) SharedParts(header http.Header) ([]prompt.PartID, error) {
+	if c.Parts == nil {
+		return nil, nil
+	}
+	parts, err := c.Parts(header)
+	if err != nil {
+		return nil, fmt.Errorf("read the parts of the prompt: %w", err)
+	}
+	return prompt.Shared(parts), nil
 }
 
 // NotSentError means that no part of the request left this process, so the request certainly didn't
--- a/control/pkg/batchrun/crash_report.go
+++ b/control/pkg/batchrun/crash_report.go
@@ -43,8 +43,10 @@
 		running = elapsed
 	}
 	phase := crashes.PhaseOf(running, elapsed, true)
+	parts, err := config.Client.SharedParts(call.Header)
 	level.Info(config.Logger).Log(logs.KeyEvent, logs.EventRunnerCrashed, logs.KeyJob, r.key.Job, "index", r.key.Index,
-		logs.KeyItem, call.Request, logs.KeyFingerprint, fingerprintOf(call), "runner", call.Runner.GetId(), "running-ms", running)
+		logs.KeyItem, call.Request, logs.KeyFingerprint, fingerprintOf(call), "runner", call.Runner.GetId(), "running-ms", running,
+		logs.KeyParts, parts, logs.KeyError, err)
 	if phase == crashes.Late {
 		config.Exchange.RecordSuccess(fingerprintOf(call))
 	}
--- a/gateway/pkg/forward/crash.go
+++ b/gateway/pkg/forward/crash.go
@@ -65,7 +65,8 @@
 	phase := crashes.PhaseOf(running, e.now()-startedAt, e.route.Streams())
 	e.server.metrics.crashes.Inc()
 	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventRunnerCrashed, logs.KeyRequest, e.request.ID,
-		logs.KeyFingerprint, e.requestFingerprint(), "runner", r.GetId(), "ran", e.runs, "running-ms", running)
+		logs.KeyFingerprint, e.requestFingerprint(), "runner", r.GetId(), "ran", e.runs, "running-ms", running,
+		logs.KeyParts, e.request.SharedParts)
 	if phase == crashes.Late {
 		e.recordSuccess()
 	}
--- a/gateway/pkg/forward/request.go
+++ b/gateway/pkg/forward/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/prompt"
 	"toucanhinge.example/gateway/pkg/placement"
 )
 
@@ -33,6 +34,8 @@
 	// Resumes is the ID of the attempt in which the caller received the first event of that stream; empty if the
 	// caller didn't name it.
 	Resumes string
+	// SharedParts are the parts of the prompt that other requests may share.
+	SharedParts []prompt.PartID
 	// Arrived is when the request's header was received.
 	Arrived clock.Millis
 }
