Show runners that crash under requests alike in one part only

Bounds are the users': three runs after stable-window-ms, half of the usual share of sound requests from twice that time on.

Stand-in runners crash on a part of prompts and can answer without a length.

--- /dev/null
+++ b/control/pkg/batchrun/part_crash_test.go
@@ -0,0 +1,93 @@
+package batchrun
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucanhinge.example/common/pkg/prompt"
+	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/control/pkg/systemstate"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+// partHeader lists the parts of an item's prompt in these tests.
+const partHeader = "Part"
+
+func partsOf(header http.Header) ([]prompt.PartID, error) {
+	var parts []prompt.PartID
+	for _, id := range header.Values(partHeader) {
+		parts = append(parts, prompt.PartID(id))
+	}
+	return parts, nil
+}
+
+// submitWithParts submits a job whose items have different bodies. Each prompt consists of the part that its index
+// selects, and of a part of its own.
+func (f *fixture) submitWithParts(items int, parts ...string) {
+	job := &toucanhingev1.SubmitJobRequest{Job: "j", Host: "h", Target: "/j/x"}
+	for i := range items {
+		job.Items = append(job.Items, &toucanhingev1.JobItem{
+			Id: fmt.Sprintf("j-%d", i), Target: "/j/y", Body: fmt.Append(nil, "body ", i),
+			Headers: []*toucanhingev1.HeaderField{{Name: partHeader, Value: parts[i%len(parts)]}, {Name: partHeader, Value: fmt.Sprint("own ", i)}},
+		})
+	}
+	f.apply(&toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_AcceptJob{AcceptJob: &toucanhingev1.AcceptJobStep{Job: job}}})
+}
+
+// Guards against items that crash runners one after the other because of one part of their prompts. The other items
+// are processed, and those with the part wait without an end.
+func TestItemsWithPartThatCrashesRunnersAreQuarantined(t *testing.T) {
+	const items, maxCalls = 12, 5 + 3
+	crashing := func(call runner.Call) bool { return call.Header.Get(partHeader) == "bad" }
+	f := start(t, func(_ int, call runner.Call) (*runner.Answer, error) {
+		if crashing(call) {
+			return ok(brokenBody(""))
+		}
+		return ok(io.NopCloser(&slowEvents{interval: 60 * time.Millisecond, last: 6}))
+	})
+	f.driver.config.Client.Parts = partsOf
+	f.refuses = true
+	f.exchange.SetRunnerCount(12)
+	f.submitWithParts(items, "bad", "sound")
+	f.run()
+	done := func() (count int) {
+		f.machine.View(func(s *systemstate.State) {
+			for i, item := range s.Job("j").Items {
+				if item.Done {
+					require.Equal(t, 1, i%2, "an item with the part must not end")
+					count++
+				}
+			}
+		})
+		return count
+	}
+	require.Eventually(t, func() bool { return done() == items/2 }, 20*time.Second, 20*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	calls := 0
+	for _, call := range f.sent() {
+		if crashing(call) {
+			calls++
+		}
+	}
+	require.LessOrEqual(t, calls, maxCalls)
+}
+
+// slowEvents is a stream that ends after some events.
+type slowEvents struct {
+	interval   time.Duration
+	next, last int
+}
+
+func (s *slowEvents) Read(p []byte) (int, error) {
+	if s.next == s.last {
+		return 0, io.EOF
+	}
+	time.Sleep(s.interval)
+	s.next++
+	return copy(p, events(s.next, s.next)), nil
+}
--- a/gateway/pkg/forward/crash_test.go
+++ b/gateway/pkg/forward/crash_test.go
@@ -21,6 +21,7 @@
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/crashes"
 	"toucanhinge.example/common/pkg/digest"
+	"toucanhinge.example/common/pkg/prompt"
 	"toucanhinge.example/common/pkg/routing"
 	"toucanhinge.example/common/pkg/runner"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
@@ -51,14 +52,16 @@
 	return r.crashed, time.Now().After(r.backAt)
 }
 
-func (r *fakeRunner) crash(crashed chan struct{}) {
+// crash ends an incarnation of the runner, and reports whether it was still running.
+func (r *fakeRunner) crash(crashed chan struct{}) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.crashed != crashed {
-		return
+		return false
 	}
 	close(crashed)
 	r.crashed, r.backAt = make(chan struct{}), time.Now().Add(restartTime)
+	return true
 }
 
 // crashFleet is a group of gateways with the same runners.
@@ -71,6 +74,9 @@
 	mu sync.Mutex
 	// runs counts the calls that reached a runner, by body.
 	runs map[string]int
+	// crashingAt and crashedAt are the times at which crashing calls reached runners and at which runners crashed.
+	crashingAt []time.Time
+	crashedAt  []time.Time
 }
 
 // startCrashFleet starts gateways with twelve runners.
@@ -137,7 +143,7 @@
 		require.Nil(f.t, refusal)
 		server.Serve(r.Context(), w, auth, Request{
 			ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Host: "team", Body: body, Timeout: 5_000,
-			Arrived: server.config.Clock.Now(),
+			Arrived: server.config.Clock.Now(), SharedParts: sharedParts(r.Header),
 		})
 	}))
 	f.t.Cleanup(web.Close)
@@ -145,6 +151,27 @@
 	f.gateways = append(f.gateways, web)
 }
 
+// sharedParts returns the parts that a test's request names.
+func sharedParts(header http.Header) []prompt.PartID {
+	var parts []prompt.PartID
+	for _, id := range header.Values("Part") {
+		parts = append(parts, prompt.PartID(id))
+	}
+	return parts
+}
+
+// crashing reports whether a request crashes its runner.
+func crashing(call runner.Call) bool { return strings.HasPrefix(string(call.Body), "crash") }
+
+func (f *crashFleet) crash(r *fakeRunner, crashed chan struct{}) {
+	if !r.crash(crashed) {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashedAt = append(f.crashedAt, time.Now())
+}
+
 func (f *crashFleet) open(ctx context.Context, call runner.Call) (*runner.Answer, error) {
 	r := f.runners[call.Runner.GetId()]
 	crashed, up := r.incarnation()
@@ -153,16 +180,19 @@
 	}
 	f.mu.Lock()
 	f.runs[string(call.Body)]++
+	if crashing(call) {
+		f.crashingAt = append(f.crashingAt, time.Now())
+	}
 	f.mu.Unlock()
 	switch {
-	case string(call.Body) == "crash":
-		time.AfterFunc(crashDelay, func() { r.crash(crashed) })
+	case crashing(call):
+		time.AfterFunc(crashDelay, func() { f.crash(r, crashed) })
 	case strings.HasPrefix(string(call.Body), "reset"):
 		return nil, &runner.BrokenError{Runner: call.Runner.GetId(), Err: errConnReset}
 	}
 	return &runner.Answer{
 		Status: http.StatusOK, Header: http.Header{"Seal": {call.Runner.GetId()}}, Length: -1,
-		Body: &crashBody{ctx: ctx, crashed: crashed, noEvents: string(call.Body) == "crash", next: call.After + 1, last: 12},
+		Body: &crashBody{ctx: ctx, crashed: crashed, noEvents: crashing(call), next: call.After + 1, last: 12},
 	}, nil
 }
 
@@ -210,10 +240,13 @@
 	err    error
 }
 
-func (f *crashFleet) send(gateway int, path, id, body string) answer {
+func (f *crashFleet) send(gateway int, path, id, body string, parts ...string) answer {
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, f.gateways[gateway%len(f.gateways)].URL+path, strings.NewReader(body))
 	require.NoError(f.t, err)
 	request.Header.Set("Id", id)
+	for _, part := range parts {
+		request.Header.Add("Part", part)
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return answer{err: err}
