--- a/common/pkg/crashes/machine_test.go
+++ b/common/pkg/crashes/machine_test.go
@@ -15,10 +15,12 @@
 	start  clock.Millis = 1_000_000
 )
 
+func testFingerprint(n int) Fingerprint { return FingerprintOf("POST", "team", fmt.Sprint(n), nil) }
+
 // newCrashingMachine returns a machine with a request that crashed the given number of runners, one per
 // second.
 func newCrashingMachine(crashes int) (m *Machine, bad Fingerprint, now clock.Millis) {
-	m, bad, now = New(), simFingerprint(1), start
+	m, bad, now = New(), testFingerprint(1), start
 	m.SetRunnerCount(12)
 	for n := range crashes {
 		m.AddReport(now, Report{Crash: Crash{Runner: fmt.Sprint(n)}, Fingerprint: bad, Phase: BeforeFirstEvent, At: now})
@@ -38,7 +40,7 @@
 	require.Len(t, found, 1)
 	require.Empty(t, m.PopNewQuarantines(), "each quarantine is returned once")
 	require.Equal(t, Allowed, m.Evaluate(verdict.Until, bad).Status, "the quarantine must end")
-	require.Equal(t, Allowed, m.Evaluate(now, simFingerprint(2)).Status, "other requests are not affected")
+	require.Equal(t, Allowed, m.Evaluate(now, testFingerprint(2)).Status, "other requests are not affected")
 }
 
 // A request runs again after its quarantine. One more crash must put it back into quarantine, for
@@ -78,7 +80,7 @@
 // quarantined, these crashes must no longer count against the harmless request.
 func TestQuarantinedRequestExplainsItsCrashes(t *testing.T) {
 	m, bad, now := newCrashingMachine(3)
-	harmless := simFingerprint(2)
+	harmless := testFingerprint(2)
 	for n := range 3 {
 		at := start + clock.Millis(n)*1_000
 		m.AddReport(now, Report{Crash: Crash{Runner: fmt.Sprint(n)}, Fingerprint: harmless, Phase: BeforeFirstEvent, At: at})
@@ -109,7 +111,7 @@
 }
 
 func TestApplyQuarantine(t *testing.T) {
-	m, bad := New(), simFingerprint(1)
+	m, bad := New(), testFingerprint(1)
 	require.True(t, m.ApplyQuarantine(start, Quarantine{Fingerprint: bad, Since: start - 10, Until: start + minute, Count: 1}))
 	require.False(t, m.ApplyQuarantine(start, Quarantine{Fingerprint: bad, Since: start - 10, Until: start + minute, Count: 1}), "duplicate")
 	require.Equal(t, Verdict{Quarantined, start + minute}, m.Evaluate(start, bad))
@@ -117,7 +119,7 @@
 	// A quarantine that lasts for years or has already ended results from a faulty clock or peer.
 	m.ApplyQuarantine(start, Quarantine{Fingerprint: bad, Since: start, Until: start + 1_000*maxQuarantine, Count: 2})
 	require.Equal(t, start+maxQuarantine, m.Evaluate(start, bad).Until)
-	require.False(t, m.ApplyQuarantine(start, Quarantine{Fingerprint: simFingerprint(2), Since: start - minute, Until: start, Count: 1}))
+	require.False(t, m.ApplyQuarantine(start, Quarantine{Fingerprint: testFingerprint(2), Since: start - minute, Until: start, Count: 1}))
 }
 
 func TestPhaseOf(t *testing.T) {
@@ -145,7 +147,7 @@
 		m, now := New(), start
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now += clock.Millis(rapid.IntRange(0, 5_000).Draw(t, "pause"))
-			fingerprint := simFingerprint(rapid.IntRange(0, 3_000).Draw(t, "fingerprint"))
+			fingerprint := testFingerprint(rapid.IntRange(0, 3_000).Draw(t, "fingerprint"))
 			age := clock.Millis(rapid.IntRange(0, 60_000).Draw(t, "age"))
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0:
@@ -153,7 +155,7 @@
 				for n := range rapid.IntRange(1, 60).Draw(t, "runs") {
 					m.AddReport(now, Report{
 						Crash:       Crash{Runner: fmt.Sprint(rapid.IntRange(0, 900).Draw(t, "runner"))},
-						Fingerprint: simFingerprint(first + n), Phase: Phase(rapid.IntRange(-1, 4).Draw(t, "phase")), At: now - age,
+						Fingerprint: testFingerprint(first + n), Phase: Phase(rapid.IntRange(-1, 4).Draw(t, "phase")), At: now - age,
 					})
 				}
 			case 1:
--- a/common/pkg/crashes/quarantine.go
+++ b/common/pkg/crashes/quarantine.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/prompt"
 )
 
 // Quarantine durations.
@@ -19,12 +20,15 @@
 	recentCrash clock.Millis = 5_000
 )
 
-// Quarantine blocks a request on all runners for a limited time.
+// Quarantine blocks a request, or all requests with a part of their prompts, on all runners for a limited time.
 type Quarantine struct {
+	// Fingerprint identifies the request. It is the zero value if Part is set.
 	Fingerprint Fingerprint
-	Since       clock.Millis
-	Until       clock.Millis
-	// Count is how many times the request has been quarantined.
+	// Part is the part of the prompts; empty for a single request.
+	Part  prompt.PartID
+	Since clock.Millis
+	Until clock.Millis
+	// Count is how many times the request or part has been quarantined.
 	Count int
 }
 
--- a/common/pkg/crashes/report.go
+++ b/common/pkg/crashes/report.go
@@ -20,6 +20,9 @@
 // longest observed delay of a crash.
 const earlyDuration clock.Millis = 500
 
+// ConfirmedAnswer is the time after the first event of an answer from which on its runner has not crashed by beginning it.
+const ConfirmedAnswer clock.Millis = 120
+
 // Crash identifies one crash by the runner and its start time, 0 if unknown. Each start of a runner
 // has its own id or start time and crashes at most once.
 type Crash struct {
--- a/common/pkg/digest/crashes.go
+++ b/common/pkg/digest/crashes.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"google.golang.org/protobuf/proto"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/crashes"
-	"toucanhinge.example/common/pkg/hash128"
 	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/partcrashes"
+	"toucanhinge.example/common/pkg/prompt"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
@@ -40,45 +43,29 @@
 	maxCrashReports = 64
 )
 
-// crashState holds the suspected requests and the updates that are still to be broadcast.
+// crashState holds the suspected requests and parts of prompts, and the updates that are still to be broadcast.
 type crashState struct {
 	mu      sync.Mutex
 	machine *crashes.Machine
-	outbox  crashUpdate
-	dirty   chan struct{}
+	parts   *partcrashes.Machine
+	// heard holds the newest answer that another daemon announced for a suspected part.
+	heard  *simplelru.LRU[prompt.PartID, clock.Millis]
+	outbox crashUpdate
+	dirty  chan struct{}
 }
 
-func newCrashState() *crashState {
-	return &crashState{machine: crashes.New(), dirty: make(chan struct{}, 1)}
-}
-
-// crashUpdate is a set of changes to the crash state that this daemon sends to others.
-type crashUpdate struct {
-	reports     []crashes.Report
-	quarantines []crashes.Quarantine
-	clearances  []crashes.Clearance
-}
-
-// toProto encodes the update. Times are sent as ages because clocks differ between VMs.
-func (u crashUpdate) toProto(now clock.Millis) *toucanhingev1.CrashNews {
-	m := &toucanhingev1.CrashNews{}
-	for _, r := range u.reports {
-		m.Sightings = append(m.Sightings, &toucanhingev1.CrashSighting{
-			Runner: r.Crash.Runner, BornMs: r.Crash.StartedAt, Content: r.Fingerprint[:], Sign: uint32(r.Phase), AgeMs: ageOf(now, r.At),
-		})
-	}
-	for _, q := range u.quarantines {
-		m.Quarantines = append(m.Quarantines, &toucanhingev1.RequestQuarantine{
-			Content: q.Fingerprint[:], AgeMs: ageOf(now, q.Since), LeftMs: ageOf(q.Until, now), Terms: uint32(q.Count),
-		})
+func newCrashState(name string) *crashState {
+	heard, err := simplelru.NewLRU[prompt.PartID, clock.Millis](maxHeardAnswers, nil)
+	if err != nil {
+		panic(fmt.Sprintf("create the table of announced answers: %v", err))
 	}
-	for _, c := range u.clearances {
-		m.Clearances = append(m.Clearances, &toucanhingev1.RequestClearance{Content: c.Fingerprint[:], AgeMs: ageOf(now, c.At)})
+	return &crashState{
+		machine: crashes.New(), parts: partcrashes.New(partcrashes.Config{Name: name}), heard: heard, dirty: make(chan struct{}, 1),
 	}
-	return m
 }
 
-func ageOf(now, at clock.Millis) uint32 { return uint32(max(now-at, 0)) }
+// empty reports whether nothing is suspected. The caller holds the lock.
+func (s *crashState) empty() bool { return s.machine.Empty() && s.parts.Empty() }
 
 func (s *crashState) wake() {
 	select {
@@ -112,11 +99,11 @@
 	x.crashState.machine.SetRunnerCount(count)
 }
 
-// HasSuspects reports whether any request is suspected of crashing runners.
+// HasSuspects reports whether any request or part of prompts is suspected of crashing runners.
 func (x *Exchange) HasSuspects() bool {
 	x.crashState.mu.Lock()
 	defer x.crashState.mu.Unlock()
-	return !x.crashState.machine.Empty()
+	return !x.crashState.empty()
 }
 
 // CheckRequest decides whether a request may run.
@@ -132,7 +119,8 @@
 // broadcastNewQuarantines queues the quarantines that this daemon has just imposed for
 // broadcast. The caller holds the lock.
 func (x *Exchange) broadcastNewQuarantines() {
-	for _, q := range x.crashState.machine.PopNewQuarantines() {
+	imposed := append(x.crashState.machine.PopNewQuarantines(), x.crashState.parts.PopNewQuarantines()...)
+	for _, q := range imposed {
 		x.logQuarantine(q, x.config.Source)
 		x.crashState.outbox.quarantines = append(x.crashState.outbox.quarantines, q)
 		x.crashState.wake()
@@ -159,7 +147,8 @@
 func (x *Exchange) Quarantines() []crashes.Quarantine {
 	x.crashState.mu.Lock()
 	defer x.crashState.mu.Unlock()
-	return x.crashState.machine.Quarantines(x.config.Clock.Now())
+	now := x.config.Clock.Now()
+	return append(x.crashState.machine.Quarantines(now), x.crashState.parts.Quarantines(now)...)
 }
 
 // ApplyQuarantines applies quarantines from the replicated log. Other daemons receive them with
@@ -169,18 +158,41 @@
 	x.crashState.mu.Lock()
 	defer x.crashState.mu.Unlock()
 	for _, q := range list {
-		if x.crashState.machine.ApplyQuarantine(now, q) {
+		if x.crashState.applyQuarantine(now, q) {
 			x.logQuarantine(q, "log")
 		}
 	}
 }
 
-// QuarantineCount returns the number of quarantines in force.
-func (x *Exchange) QuarantineCount() int { return len(x.Quarantines()) }
+// applyQuarantine applies a quarantine that another daemon imposed. It reports whether it is new. The caller holds the
+// lock.
+func (s *crashState) applyQuarantine(now clock.Millis, q crashes.Quarantine) bool {
+	if q.Part != "" {
+		return s.parts.ApplyQuarantine(now, q)
+	}
+	return s.machine.ApplyQuarantine(now, q)
+}
+
+// QuarantineCount returns the number of quarantined requests.
+func (x *Exchange) QuarantineCount() int {
+	x.crashState.mu.Lock()
+	defer x.crashState.mu.Unlock()
+	return len(x.crashState.machine.Quarantines(x.config.Clock.Now()))
+}
+
+// PartQuarantineCount returns the number of quarantined parts of prompts.
+func (x *Exchange) PartQuarantineCount() int {
+	x.crashState.mu.Lock()
+	defer x.crashState.mu.Unlock()
+	return len(x.crashState.parts.Quarantines(x.config.Clock.Now()))
+}
 
 func (x *Exchange) logQuarantine(q crashes.Quarantine, foundBy string) {
-	level.Warn(x.config.Logger).Log(logs.KeyEvent, "request-quarantined", logs.KeyFingerprint, q.Fingerprint, "terms", q.Count,
-		"span-ms", q.Until-q.Since, "found-by", foundBy)
+	logger := log.With(level.Warn(x.config.Logger), logs.KeyEvent, "request-quarantined", logs.KeyFingerprint, q.Fingerprint)
+	if q.Part != "" {
+		logger = log.With(level.Warn(x.config.Logger), logs.KeyEvent, "part-quarantined", logs.KeyPart, q.Part)
+	}
+	logger.Log("terms", q.Count, "span-ms", q.Until-q.Since, "found-by", foundBy)
 }
 
 // runCrashGossip sends crash updates until the context ends.
@@ -274,7 +286,8 @@
 	now := x.config.Clock.Now()
 	x.crashState.mu.Lock()
 	x.crashState.machine.Expire(now)
-	message, empty := x.knownCrashes(now), x.crashState.machine.Empty()
+	x.crashState.parts.Expire(now)
+	message, empty := x.knownCrashes(now), x.crashState.empty()
 	x.crashState.mu.Unlock()
 	if empty && !query {
 		return true
@@ -286,62 +299,3 @@
 	}
 	return true
 }
-
-// knownCrashes encodes the crash state: the quarantines in force and the reports that other daemons
-// may have missed. The caller holds the lock.
-func (x *Exchange) knownCrashes(now clock.Millis) *toucanhingev1.CrashNews {
-	machine := x.crashState.machine
-	return crashUpdate{quarantines: machine.Quarantines(now), reports: machine.Reports(now, maxCrashReports)}.toProto(now)
-}
-
-func (x *Exchange) sendCrashes(message *toucanhingev1.CrashNews, peer netip.AddrPort) {
-	data, err := proto.Marshal(&toucanhingev1.LoadDigest{Source: x.config.Source, Crashes: message})
-	if err != nil {
-		level.Error(x.config.Logger).Log(logs.KeyEvent, "digest-unencodable", logs.KeyError, err)
-		return
-	}
-	x.write(data, peer)
-}
-
-// receiveCrashes applies the crash update of another daemon and replies to a query.
-func (x *Exchange) receiveCrashes(source string, from netip.AddrPort, message *toucanhingev1.CrashNews) {
-	now := x.config.Clock.Now()
-	x.crashState.mu.Lock()
-	for _, entry := range message.GetSightings() {
-		if fingerprint, ok := parseFingerprint(entry.GetContent()); ok {
-			x.crashState.machine.AddReport(now, crashes.Report{
-				Crash: crashes.Crash{Runner: entry.GetRunner(), StartedAt: entry.GetBornMs()}, Fingerprint: fingerprint,
-				Phase: crashes.Phase(entry.GetSign()), At: now - clock.Millis(entry.GetAgeMs()),
-			})
-		}
-	}
-	for _, entry := range message.GetQuarantines() {
-		fingerprint, ok := parseFingerprint(entry.GetContent())
-		quarantine := crashes.Quarantine{
-			Fingerprint: fingerprint, Since: now - clock.Millis(entry.GetAgeMs()), Until: now + clock.Millis(entry.GetLeftMs()),
-			Count: int(entry.GetTerms()),
-		}
-		if ok && x.crashState.machine.ApplyQuarantine(now, quarantine) {
-			x.logQuarantine(quarantine, source)
-		}
-	}
-	for _, entry := range message.GetClearances() {
-		if fingerprint, ok := parseFingerprint(entry.GetContent()); ok {
-			x.crashState.machine.Clear(now, crashes.Clearance{Fingerprint: fingerprint, At: now - clock.Millis(entry.GetAgeMs())})
-		}
-	}
-	x.broadcastNewQuarantines()
-	var known *toucanhingev1.CrashNews
-	if message.GetAsks() && !x.crashState.machine.Empty() {
-		known = x.knownCrashes(now)
-	}
-	x.crashState.mu.Unlock()
-	if known != nil {
-		x.sendCrashes(known, from)
-	}
-}
-
-func parseFingerprint(data []byte) (crashes.Fingerprint, bool) {
-	sum, ok := hash128.Parse(data)
-	return crashes.Fingerprint(sum), ok
-}
--- a/common/pkg/digest/exchange.go
+++ b/common/pkg/digest/exchange.go
@@ -105,7 +105,7 @@
 		isolation: isolation{startedAt: config.Boot.Now()}, contention: newContentionState(),
 		config: config, socket: socket, epoch: uint64(config.Clock.Now()), all: map[string]netip.AddrPort{},
 		relay: newRelay(config.Source, Peer{Address: config.Address, DataCentre: config.DataCentre, Core: config.Core}),
-		dirty: make(chan struct{}, 1), crashState: newCrashState(), origins: newOriginState(), table: occupancy.New(), runnerSeen: map[string]clock.Millis{},
+		dirty: make(chan struct{}, 1), crashState: newCrashState(config.Source), origins: newOriginState(), table: occupancy.New(), runnerSeen: map[string]clock.Millis{},
 	}
 	x.relay.contention.sum, x.relay.contention.delayFactor = x.dataCentreContention, x.delayFactor
 	return x, nil
--- /dev/null
+++ b/common/pkg/digest/part_crashes.go
@@ -0,0 +1,179 @@
+package digest
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/crashes"
+	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/partcrashes"
+	"toucanhinge.example/common/pkg/prompt"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
+
+const (
+	// maxPartReports limits the reports with parts in one datagram to about 4 kB.
+	maxPartReports = 32
+	// maxHeardAnswers limits the parts whose announced answers are stored.
+	maxHeardAnswers = 256
+	// answerSpreadPerPeer and maxAnswerSpread are the period over which daemons spread the announcements of an answer
+	// that a report lacks. With several hundred daemons, most hear another's announcement before their own.
+	answerSpreadPerPeer = 250 * time.Microsecond
+	maxAnswerSpread     = 60 * time.Millisecond
+	// staleAnswer is the age beyond another daemon's announcement from which on an answer is news.
+	staleAnswer clock.Millis = 1_000
+)
+
+// partUpdate is the part of an update that concerns parts of prompts.
+type partUpdate struct {
+	reports []partReport
+	answers []partcrashes.Answer
+	trials  []partcrashes.Trial
+}
+
+// partReport is a report with the newest known answers to requests with its parts.
+type partReport struct {
+	partcrashes.Report
+	answers map[prompt.PartID]clock.Millis
+}
+
+// withAnswers adds the newest known answers to a report. The caller holds the lock.
+func (s *crashState) withAnswers(r partcrashes.Report) partReport {
+	answers := map[prompt.PartID]clock.Millis{}
+	for _, part := range r.Parts {
+		if at := s.parts.LastAnswer(part); at > 0 {
+			answers[part] = at
+		}
+	}
+	return partReport{Report: r, answers: answers}
+}
+
+func (u partUpdate) addTo(m *toucanhingev1.CrashNews, now clock.Millis) {
+	for _, r := range u.reports {
+		entry := &toucanhingev1.PartSighting{
+			Runner: r.Crash.Runner, BornMs: r.Crash.StartedAt, Content: r.Request[:], Unanswered: r.Unanswered, AgeMs: ageOf(now, r.At),
+		}
+		for _, part := range r.Parts {
+			sighted := &toucanhingev1.SightedPart{Part: string(part)}
+			if at, known := r.answers[part]; known {
+				age := ageOf(now, at)
+				sighted.AnsweredAgeMs = &age
+			}
+			entry.Parts = append(entry.Parts, sighted)
+		}
+		m.PartSightings = append(m.PartSightings, entry)
+	}
+	for _, a := range u.answers {
+		m.PartAnswers = append(m.PartAnswers, &toucanhingev1.PartAnswer{Part: string(a.Part), AgeMs: ageOf(now, a.At)})
+	}
+	for _, t := range u.trials {
+		m.PartTrials = append(m.PartTrials, &toucanhingev1.PartTrial{Part: string(t.Part), AgeMs: ageOf(now, t.At)})
+	}
+}
+
+// ReportPartCrash records the parts of the prompt of a run that ended with a crash of its runner, and broadcasts them
+// to all daemons. unanswered is set if nothing of its answer had arrived.
+func (x *Exchange) ReportPartCrash(r *toucanhingev1.Runner, request crashes.Fingerprint, parts []prompt.PartID, unanswered bool) {
+	if len(parts) == 0 {
+		return
+	}
+	now := x.config.Clock.Now()
+	report := partcrashes.Report{
+		Crash: crashes.Crash{Runner: r.GetId(), StartedAt: r.GetBornMs()}, Request: request, Parts: parts, Unanswered: unanswered,
+		At: now, Own: true,
+	}
+	x.crashState.mu.Lock()
+	defer x.crashState.mu.Unlock()
+	x.crashState.outbox.parts.reports = append(x.crashState.outbox.parts.reports, x.crashState.withAnswers(report))
+	x.crashState.parts.AddReport(now, report)
+	x.broadcastNewQuarantines()
+	x.crashState.wake()
+}
+
+// CheckParts decides whether a request with these parts may run. trying is set if the request was allowed before as the
+// trial of its suspected parts; trial is set if it is that now.
+func (x *Exchange) CheckParts(parts []prompt.PartID, trying bool) (verdict crashes.Verdict, trial bool) {
+	now := x.config.Clock.Now()
+	x.crashState.mu.Lock()
+	defer x.crashState.mu.Unlock()
+	verdict, trials := x.crashState.parts.Evaluate(now, parts, trying)
+	x.broadcastNewQuarantines()
+	if len(trials) == 0 {
+		return verdict, false
+	}
+	x.crashState.outbox.parts.trials = append(x.crashState.outbox.parts.trials, trials...)
+	level.Info(x.config.Logger).Log(logs.KeyEvent, "part-tried", logs.KeyParts, parts)
+	x.crashState.wake()
+	return verdict, true
+}
+
+// RecordAnswer records that a runner began at a time to answer a request with these parts and didn't crash.
+func (x *Exchange) RecordAnswer(parts []prompt.PartID, at clock.Millis) {
+	x.crashState.mu.Lock()
+	defer x.crashState.mu.Unlock()
+	needed := x.crashState.parts.RecordAnswer(parts, at)
+	if len(needed) == 0 {
+		return
+	}
+	level.Info(x.config.Logger).Log(logs.KeyEvent, "part-cleared", logs.KeyParts, parts)
+	x.crashState.outbox.parts.answers = append(x.crashState.outbox.parts.answers, needed...)
+	x.crashState.wake()
+}
+
+// receiveParts applies what another daemon reports about parts of prompts. The caller holds the lock.
+func (x *Exchange) receiveParts(now clock.Millis, message *toucanhingev1.CrashNews) {
+	for _, entry := range message.GetPartSightings() {
+		if request, ok := parseFingerprint(entry.GetContent()); ok {
+			x.receivePartReport(now, entry, request)
+		}
+	}
+	for _, entry := range message.GetPartAnswers() {
+		a := partcrashes.Answer{Part: prompt.PartID(entry.GetPart()), At: now - clock.Millis(entry.GetAgeMs())}
+		x.crashState.heard.Add(a.Part, a.At)
+		if x.crashState.parts.ApplyAnswer(a) {
+			level.Info(x.config.Logger).Log(logs.KeyEvent, "part-cleared", logs.KeyPart, a.Part)
+		}
+	}
+	for _, entry := range message.GetPartTrials() {
+		x.crashState.parts.ApplyTrial(partcrashes.Trial{Part: prompt.PartID(entry.GetPart()), At: now - clock.Millis(entry.GetAgeMs())})
+	}
+}
+
+func (x *Exchange) receivePartReport(now clock.Millis, entry *toucanhingev1.PartSighting, request crashes.Fingerprint) {
+	report := partcrashes.Report{
+		Crash:   crashes.Crash{Runner: entry.GetRunner(), StartedAt: entry.GetBornMs()},
+		Request: request, Unanswered: entry.GetUnanswered(), At: now - clock.Millis(entry.GetAgeMs()),
+	}
+	reported := map[prompt.PartID]clock.Millis{}
+	for _, p := range entry.GetParts() {
+		part := prompt.PartID(p.GetPart())
+		report.Parts = append(report.Parts, part)
+		if p.AnsweredAgeMs != nil {
+			reported[part] = now - clock.Millis(p.GetAnsweredAgeMs())
+		}
+	}
+	for _, a := range x.crashState.parts.UnknownAnswers(report, reported) {
+		x.announceLater(a)
+	}
+	for part, at := range reported {
+		x.crashState.parts.ApplyAnswer(partcrashes.Answer{Part: part, At: at})
+	}
+	x.crashState.parts.AddReport(now, report)
+}
+
+// announceLater announces an answer that the source of a report doesn't know, unless another daemon does so before.
+func (x *Exchange) announceLater(a partcrashes.Answer) {
+	spread := min(time.Duration(len(x.allPeers()))*answerSpreadPerPeer, maxAnswerSpread)
+	time.AfterFunc(time.Duration(rand.Float64()*float64(spread)), func() {
+		x.crashState.mu.Lock()
+		defer x.crashState.mu.Unlock()
+		if heardAt, heard := x.crashState.heard.Peek(a.Part); heard && a.At-heardAt < staleAnswer {
+			return
+		}
+		x.crashState.outbox.parts.answers = append(x.crashState.outbox.parts.answers, a)
+		x.crashState.wake()
+	})
+}
--- a/common/pkg/logs/logs.go
+++ b/common/pkg/logs/logs.go
@@ -20,6 +20,7 @@
 	KeyGroup       = "group"
 	KeyFingerprint = "content"
 	KeyParts       = "parts"
+	KeyPart        = "part"
 	KeyError       = "error"
 	KeyEvent       = "event"
 )
@@ -31,6 +32,7 @@
 	EventRequestRetried  = "request-goes-elsewhere"
 	EventResumeRequested = "resume-requested"
 	EventRunnerCrashed   = "runner-crashed"
+	EventPartsUnreadable = "prompt-parts-unreadable"
 	EventItemPaused      = "item-paused"
 	EventItemMoved       = "item-moved"
 	EventItemRestarted   = "item-restarted"
--- /dev/null
+++ b/common/pkg/partcrashes/evidence.go
@@ -0,0 +1,147 @@
+package partcrashes
+
+import (
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/crashes"
+	"toucanhinge.example/common/pkg/prompt"
+)
+
+// Numbers of crashes and requests that are sufficient for a quarantine. Several requests are always needed: if all
+// crashes were those of one request, it is suspected as a whole instead.
+const (
+	minRequests = 2
+	// sufficientRequests with minCrashes are sufficient, or minRequests with sufficientCrashes.
+	sufficientRequests = 3
+	minCrashes         = 3
+	sufficientCrashes  = 4
+	// maxChance is the maximum probability that all these runs ended in crashes if the part is harmless. While runners
+	// crash often for other reasons, it takes more crashes.
+	maxChance = 1e-5
+	// sufficientMany crashes are sufficient with maxManyChance: a part that crashes runners must be found soon even if
+	// they crash often for other reasons.
+	sufficientMany = 8
+	maxManyChance  = 1e-4
+	// sufficientTied crashes are sufficient although another suspect shares all of them: the two parts never come apart.
+	sufficientTied = 5
+	// minEarly crashes are sufficient if answers had begun shortly before some of them.
+	minEarly = 6
+	// sufficientAlone crashes are needed if no other request was answered since the first of them: then all requests
+	// may crash runners, whatever their parts.
+	sufficientAlone = 6
+	// sufficientRecent crashes are needed if a request with the part was answered up to recentAnswer before the first
+	// of them. Without answers in between, the part has begun to crash runners.
+	sufficientRecent = 8
+	// recentAnswer is long enough for a part that a few callers use.
+	recentAnswer clock.Millis = 10_000
+	// propagationDelay is the time after a crash until all daemons have received the reports of it and the answers
+	// that contradict them. Datagrams take a few milliseconds, small VMs are tens of milliseconds late, and a lost
+	// datagram is sent again after 40 ms.
+	propagationDelay clock.Millis = 100
+)
+
+// evidence counts the crashes of a suspect since the newest answer to a request with it. Crashes that a quarantined
+// part explains don't count.
+type evidence struct {
+	// all counts the crashes, unanswered those with an unanswered run.
+	all, unanswered int
+	// requests counts the different requests of the runs.
+	requests int
+	// first and newest are the times of the first and the newest crash.
+	first, newest clock.Millis
+	// recent is set if a request with the part was answered shortly before the first crash.
+	recent bool
+	// contrast is set if another request was answered since the first crash.
+	contrast bool
+	// own is set if a run of the newest crash was this daemon's, ownRuns counts the crashes with such runs.
+	own     bool
+	ownRuns int
+}
+
+// sufficient reports whether the evidence justifies a quarantine. crashRate is the probability that a run of another
+// request ends in a crash.
+func (e evidence) sufficient(crashRate float64) bool {
+	switch {
+	case e.requests < minRequests:
+		return false
+	case e.recent:
+		return e.requests >= sufficientRequests && e.all >= sufficientRecent && chance(crashRate, e.all) <= maxChance*maxChance
+	case !e.contrast:
+		return e.all >= sufficientAlone
+	default:
+		return e.sufficientUnanswered(crashRate) || e.sufficientEarly(crashRate)
+	}
+}
+
+// sufficientUnanswered reports whether the crashes under unanswered runs are sufficient.
+func (e evidence) sufficientUnanswered(crashRate float64) bool {
+	if e.unanswered < minCrashes || e.requests < sufficientRequests && e.unanswered < sufficientCrashes {
+		return false
+	}
+	c := chance(crashRate, e.unanswered)
+	return c <= maxChance || e.unanswered >= sufficientMany && c <= maxManyChance
+}
+
+// sufficientEarly reports whether the crashes are sufficient although some answers had begun shortly before.
+func (e evidence) sufficientEarly(crashRate float64) bool {
+	return e.requests >= sufficientRequests && e.all >= minEarly && chance(crashRate, e.all) <= maxChance
+}
+
+func (m *Machine) evidence(s *suspect) evidence {
+	e := evidence{}
+	requests := map[crashes.Fingerprint]bool{}
+	for id, found := range s.sightings {
+		c := m.crashes[id]
+		if c.cause != "" {
+			continue
+		}
+		e.all++
+		if found.unanswered {
+			e.unanswered++
+		}
+		if found.own {
+			e.ownRuns++
+		}
+		if e.first == 0 || c.at < e.first {
+			e.first = c.at
+		}
+		if c.at >= e.newest {
+			e.newest, e.own = c.at, found.own
+		}
+		for request := range found.requests {
+			requests[request] = true
+		}
+	}
+	e.requests = len(requests)
+	e.recent = e.all > 0 && s.answeredAt > 0 && e.first-s.answeredAt < recentAnswer
+	e.contrast = m.newestAnswer > e.first
+	return e
+}
+
+// leads reports whether no other suspect of the same crashes has as many of them. A part that another one always
+// accompanies needs more crashes. A part that was answered shortly before comes after those that weren't.
+func (m *Machine) leads(s *suspect, e evidence) bool {
+	for other := range m.rivals(s) {
+		o := m.evidence(m.suspects[other])
+		if o.recent || o.requests < minRequests {
+			continue
+		}
+		if o.all > e.all || o.all == e.all && e.all < sufficientTied || e.recent && 2*o.all >= e.all {
+			return false
+		}
+	}
+	return true
+}
+
+// rivals returns the other suspects of the crashes of a suspect.
+func (m *Machine) rivals(s *suspect) map[prompt.PartID]bool {
+	found := map[prompt.PartID]bool{}
+	for id := range s.sightings {
+		if c := m.crashes[id]; c.cause == "" {
+			for other := range c.suspects {
+				found[other] = other != s.part
+			}
+		}
+	}
+	delete(found, s.part)
+	return found
+}
--- /dev/null
+++ b/common/pkg/partcrashes/machine.go
@@ -0,0 +1,202 @@
+package partcrashes
+
+import (
+	"fmt"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/crashes"
+	"toucanhinge.example/common/pkg/prompt"
+)
+
+// Config configures a Machine.
+type Config struct {
+	// Name is the name of this daemon. Daemons with different names start their trials at different times.
+	Name string
+}
+
+// Machine decides from reports of crashes and from answers which parts of prompts to quarantine. A part that crashes
+// runners is in the prompt of an unanswered run of each of its crashes, and no run with it is ever answered. The parts
+// of other requests meet crashes too, but runs with them are answered in between. Machine holds no goroutine, socket or
+// clock.
+type Machine struct {
+	config   Config
+	suspects map[prompt.PartID]*suspect
+	crashes  map[crashes.Crash]*crash
+	// answers holds the newest known answer for the most recently answered parts.
+	answers  *simplelru.LRU[prompt.PartID, clock.Millis]
+	outcomes outcomes
+	// newestAnswer is the time of the newest answer to any request.
+	newestAnswer clock.Millis
+	// newQuarantines holds the quarantines that this machine imposed and PopNewQuarantines hasn't returned yet.
+	newQuarantines []crashes.Quarantine
+}
+
+// suspect is a part with which runs ended in crashes since the newest answer to a request with it.
+type suspect struct {
+	part      prompt.PartID
+	sightings map[crashes.Crash]*sighting
+	// answeredAt is the newest known answer to a request with the part, 0 if none is known.
+	answeredAt clock.Millis
+	// trialUntil is the time until which the result of a trial is awaited.
+	trialUntil clock.Millis
+	updatedAt  clock.Millis
+	// quarantine is the newest quarantine. Its Count is 0 if there was none.
+	quarantine crashes.Quarantine
+}
+
+// sighting is one crash under runs with a part.
+type sighting struct {
+	requests map[crashes.Fingerprint]bool
+	// unanswered is set if one of the runs was unanswered, own if one was this daemon's.
+	unanswered bool
+	own        bool
+}
+
+// crash holds the suspects of one crash.
+type crash struct {
+	at       clock.Millis
+	suspects map[prompt.PartID]bool
+	// cause is the quarantined part that explains the crash, empty if there is none.
+	cause prompt.PartID
+}
+
+// New returns a machine without suspects.
+func New(config Config) *Machine {
+	answers, err := simplelru.NewLRU[prompt.PartID, clock.Millis](maxAnswers, nil)
+	if err != nil {
+		panic(fmt.Sprintf("create the table of answers: %v", err))
+	}
+	return &Machine{config: config, suspects: map[prompt.PartID]*suspect{}, crashes: map[crashes.Crash]*crash{}, answers: answers}
+}
+
+// Empty reports whether no part is suspected or quarantined.
+func (m *Machine) Empty() bool { return len(m.suspects) == 0 }
+
+// AddReport applies the report of a run that ended with a crash, at this or another daemon. A duplicate changes
+// nothing.
+func (m *Machine) AddReport(now clock.Millis, r Report) {
+	if now-r.At > retention {
+		return
+	}
+	if r.Own && r.Unanswered {
+		m.outcomes.record(r.At, true)
+	}
+	c := m.crash(now, r)
+	for _, part := range r.Parts {
+		if m.LastAnswer(part) < r.At {
+			m.addSighting(now, c, part, r)
+		}
+	}
+}
+
+func (m *Machine) addSighting(now clock.Millis, c *crash, part prompt.PartID, r Report) {
+	if !c.suspects[part] && len(c.suspects) >= maxSuspectsPerCrash {
+		return
+	}
+	s := m.suspect(now, part)
+	c.suspects[part] = true
+	found := s.sightings[r.Crash]
+	if found == nil {
+		found = &sighting{requests: map[crashes.Fingerprint]bool{}}
+		s.sightings[r.Crash] = found
+		s.updatedAt = max(s.updatedAt, c.at)
+		m.addCrash(now, s, c, r.Own)
+	}
+	if len(found.requests) < maxRequestsPerSighting {
+		found.requests[r.Request] = true
+	}
+	found.unanswered = found.unanswered || r.Unanswered
+	found.own = found.own || r.Own
+}
+
+// addCrash applies a further crash to the trial and the quarantine of a suspect. own is set if it ended a run of this
+// daemon.
+func (m *Machine) addCrash(now clock.Millis, s *suspect, c *crash, own bool) {
+	if c.at > s.trialUntil-trialTimeout {
+		s.trialUntil = 0
+	}
+	switch {
+	case s.quarantine.Count == 0:
+	case c.at < s.quarantine.Until:
+		c.cause = s.part
+	default:
+		m.setQuarantine(s, nextQuarantine(now, s, m.newestAnswer > s.quarantine.Since))
+		if own {
+			// The other daemons that receive the report need not announce the same quarantine.
+			m.newQuarantines = append(m.newQuarantines, s.quarantine)
+		}
+	}
+}
+
+// crash returns the crash of a report, and creates it if needed.
+func (m *Machine) crash(now clock.Millis, r Report) *crash {
+	c := m.crashes[r.Crash]
+	if c == nil {
+		m.evictCrash(now)
+		c = &crash{at: r.At, suspects: map[prompt.PartID]bool{}}
+		m.crashes[r.Crash] = c
+	}
+	return c
+}
+
+// suspect returns the suspect of a part, and creates it if needed.
+func (m *Machine) suspect(now clock.Millis, part prompt.PartID) *suspect {
+	s := m.suspects[part]
+	if s == nil {
+		m.evictSuspect()
+		s = &suspect{part: part, sightings: map[crashes.Crash]*sighting{}, answeredAt: m.LastAnswer(part), updatedAt: now}
+		m.suspects[part] = s
+	}
+	return s
+}
+
+// Evaluate decides how to treat a request with these parts now, and imposes a quarantine if the evidence is sufficient.
+// trying is set if the request is the trial of its suspected parts. If it becomes their trial now, Evaluate returns it
+// as allowed, with the trials to announce to the other daemons.
+func (m *Machine) Evaluate(now clock.Millis, parts []prompt.PartID, trying bool) (crashes.Verdict, []Trial) {
+	worst := crashes.Verdict{}
+	var trials []Trial
+	for _, part := range parts {
+		s := m.suspects[part]
+		if s == nil {
+			continue
+		}
+		verdict, onTrial := m.evaluate(now, s, trying)
+		if verdict.Status > worst.Status || verdict.Status == worst.Status && verdict.Until > worst.Until {
+			worst = verdict
+		}
+		if onTrial {
+			trials = append(trials, Trial{Part: part, At: now})
+		}
+	}
+	if worst.Status != crashes.Allowed {
+		return worst, nil
+	}
+	for _, t := range trials {
+		m.ApplyTrial(t)
+	}
+	return worst, trials
+}
+
+// evaluate decides how to treat requests with one part. onTrial is set if the request must be the part's trial.
+func (m *Machine) evaluate(now clock.Millis, s *suspect, trying bool) (verdict crashes.Verdict, onTrial bool) {
+	if s.quarantine.Until > now {
+		return crashes.Verdict{Status: crashes.Quarantined, Until: s.quarantine.Until}, false
+	}
+	e := m.evidence(s)
+	crashRate := m.outcomes.crashRate(now, e.ownRuns)
+	if e.sufficient(crashRate) && e.newest+propagationDelay <= now && m.leads(s, e) {
+		m.setQuarantine(s, nextQuarantine(now, s, e.contrast))
+		m.newQuarantines = append(m.newQuarantines, s.quarantine)
+		return crashes.Verdict{Status: crashes.Quarantined, Until: s.quarantine.Until}, false
+	}
+	if !m.needsTrial(s, e, crashRate) || trying && s.trialUntil > now {
+		return crashes.Verdict{}, false
+	}
+	if from := m.nextTrial(now, s, e); from > now {
+		return crashes.Verdict{Status: crashes.Delayed, Until: min(from, now+recheckInterval)}, false
+	}
+	return crashes.Verdict{}, true
+}
--- /dev/null
+++ b/common/pkg/partcrashes/quarantine.go
@@ -0,0 +1,115 @@
+package partcrashes
+
+import (
+	"cmp"
+	"slices"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/crashes"
+	"toucanhinge.example/common/pkg/prompt"
+)
+
+// Quarantine durations.
+const (
+	// initialQuarantine is the duration of a part's first quarantine. At its end one request finds out whether the part
+	// still crashes runners.
+	initialQuarantine clock.Millis = 60_000
+	// initialAlone is this duration if no other request was answered meanwhile. Then the cause may be the runners
+	// themselves, and all requests would be refused for long.
+	initialAlone clock.Millis = 5_000
+	// maxQuarantine limits the duration, which doubles with each crash after a quarantine.
+	maxQuarantine clock.Millis = 60 * 60_000
+	// recentCrash is how long gossip includes every crash, for daemons that missed its broadcast.
+	recentCrash clock.Millis = 5_000
+)
+
+// nextQuarantine returns the next quarantine of a suspect. contrast is set if other requests were answered meanwhile.
+func nextQuarantine(now clock.Millis, s *suspect, contrast bool) crashes.Quarantine {
+	duration := initialQuarantine
+	if !contrast {
+		duration = initialAlone
+	}
+	for range s.quarantine.Count {
+		duration = min(2*duration, maxQuarantine)
+	}
+	return crashes.Quarantine{Part: s.part, Since: now, Until: now + duration, Count: s.quarantine.Count + 1}
+}
+
+// setQuarantine sets the quarantine of a suspect and marks the suspect as the cause of its crashes.
+func (m *Machine) setQuarantine(s *suspect, quarantine crashes.Quarantine) {
+	s.quarantine, s.trialUntil = quarantine, 0
+	s.updatedAt = max(s.updatedAt, quarantine.Until)
+	for id := range s.sightings {
+		m.crashes[id].cause = s.part
+	}
+}
+
+// PopNewQuarantines returns the quarantines that this machine imposed since the last call.
+func (m *Machine) PopNewQuarantines() []crashes.Quarantine {
+	list := m.newQuarantines
+	m.newQuarantines = nil
+	return list
+}
+
+// ApplyQuarantine applies a quarantine that another daemon imposed. It reports whether the part was not quarantined
+// before.
+func (m *Machine) ApplyQuarantine(now clock.Millis, quarantine crashes.Quarantine) bool {
+	quarantine.Until = min(quarantine.Until, now+maxQuarantine)
+	if quarantine.Until <= now || m.LastAnswer(quarantine.Part)+propagationDelay >= quarantine.Since {
+		return false
+	}
+	s := m.suspect(now, quarantine.Part)
+	if s.quarantine.Count > quarantine.Count || s.quarantine.Until >= quarantine.Until {
+		return false
+	}
+	isNew := s.quarantine.Until <= now
+	m.setQuarantine(s, quarantine)
+	return isNew
+}
+
+// Quarantines lists the quarantines in force.
+func (m *Machine) Quarantines(now clock.Millis) []crashes.Quarantine {
+	var list []crashes.Quarantine
+	for _, s := range m.suspects {
+		if s.quarantine.Until > now {
+			list = append(list, s.quarantine)
+		}
+	}
+	return list
+}
+
+// Reports lists the newest reports of crashes that no quarantined part explains, up to limit: those of recent crashes,
+// and those of suspects with more than one crash. Each names one request and its suspected parts.
+func (m *Machine) Reports(now clock.Millis, limit int) []Report {
+	var list []Report
+	for id, c := range m.crashes {
+		if c.cause == "" {
+			list = append(list, m.reportsOf(now, id, c)...)
+		}
+	}
+	slices.SortFunc(list, func(a, b Report) int { return cmp.Compare(b.At, a.At) })
+	return list[:min(len(list), limit)]
+}
+
+func (m *Machine) reportsOf(now clock.Millis, id crashes.Crash, c *crash) []Report {
+	type run struct {
+		request    crashes.Fingerprint
+		unanswered bool
+	}
+	parts := map[run][]prompt.PartID{}
+	for part := range c.suspects {
+		s := m.suspects[part]
+		if now-c.at > recentCrash && len(s.sightings) < minDelayedCrashes {
+			continue
+		}
+		for request := range s.sightings[id].requests {
+			r := run{request, s.sightings[id].unanswered}
+			parts[r] = append(parts[r], part)
+		}
+	}
+	var list []Report
+	for r, shared := range parts {
+		list = append(list, Report{Crash: id, Request: r.request, Parts: shared, Unanswered: r.unanswered, At: c.at})
+	}
+	return list
+}
--- /dev/null
+++ b/common/pkg/partcrashes/report.go
@@ -0,0 +1,38 @@
+// Package partcrashes finds parts of prompts that crash each runner that begins to answer a request with them. The
+// requests differ in everything else and arrive at any gateway, so that only their common part connects them.
+package partcrashes
+
+import (
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/crashes"
+	"toucanhinge.example/common/pkg/prompt"
+)
+
+// Report describes a run that ended with a crash of its runner.
+type Report struct {
+	Crash crashes.Crash
+	// Request identifies the request. All its attempts share it.
+	Request crashes.Fingerprint
+	// Parts are the parts of its prompt that other requests may share.
+	Parts []prompt.PartID
+	// Unanswered is set if nothing of the answer had arrived. Otherwise the answer had begun shortly before.
+	Unanswered bool
+	// At is the time of the crash.
+	At clock.Millis
+	// Own is set if the run was this daemon's.
+	Own bool
+}
+
+// Answer records that a runner answered a request with a part and didn't crash: the part isn't the cause of a crash
+// before that time.
+type Answer struct {
+	Part prompt.PartID
+	// At is when the answer began.
+	At clock.Millis
+}
+
+// Trial records that a daemon sends a single request with a suspected part to a runner.
+type Trial struct {
+	Part prompt.PartID
+	At   clock.Millis
+}
--- /dev/null
+++ b/common/pkg/partcrashes/trial.go
@@ -0,0 +1,65 @@
+package partcrashes
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"toucanhinge.example/common/pkg/clock"
+)
+
+// Trials of suspected parts. From minDelayedCrashes on, one request with the part runs at a time in the whole fleet: a
+// part that crashes runners crashes one more, and an answer ends the suspicion of any other part.
+const (
+	// minDelayedCrashes is the number of crashes from which on requests with the part are delayed.
+	minDelayedCrashes = 2
+	// minDelayedRecent is this number for a part that was answered shortly before.
+	minDelayedRecent = 6
+	// maxDelayedChance is the maximum probability that all these runs ended in crashes if the part is harmless. While
+	// runners crash often for other reasons, many harmless parts would be delayed.
+	maxDelayedChance = 0.01
+	// trialTimeout is how long the result of a trial is awaited.
+	trialTimeout clock.Millis = 1_500
+	// ownTrialSpread and trialSpread are the periods over which the daemons spread the starts of their trials, so that
+	// one hears of another's trial before its own. The daemons whose runs ended in the newest crash go first: their
+	// callers wait for a retry.
+	ownTrialSpread clock.Millis = 80
+	trialSpread    clock.Millis = 400
+	// recheckInterval is how often a delayed request is evaluated again.
+	recheckInterval clock.Millis = 30
+)
+
+// needsTrial reports whether requests with the part run one at a time.
+func (m *Machine) needsTrial(s *suspect, e evidence, crashRate float64) bool {
+	switch {
+	case s.quarantine.Count > 0:
+		// The quarantine has ended. Whether the part still crashes runners is to be found out by one request.
+		return true
+	case e.requests < minRequests:
+		return false
+	case e.recent:
+		return e.all >= minDelayedRecent && m.leads(s, e)
+	default:
+		return e.unanswered >= minDelayedCrashes && chance(crashRate, e.unanswered) <= maxDelayedChance
+	}
+}
+
+// nextTrial returns the time from which on this daemon may start a trial of the part.
+func (m *Machine) nextTrial(now clock.Millis, s *suspect, e evidence) clock.Millis {
+	if s.trialUntil > now {
+		return s.trialUntil
+	}
+	from := max(s.quarantine.Until, s.trialUntil, e.newest+propagationDelay)
+	draw := clock.Millis(xxhash.Sum64String(fmt.Sprint(m.config.Name, s.part, from)) >> 1)
+	if e.own && e.newest+propagationDelay == from {
+		return from + draw%ownTrialSpread
+	}
+	return from + ownTrialSpread + draw%trialSpread
+}
+
+// ApplyTrial applies a trial of this or another daemon.
+func (m *Machine) ApplyTrial(t Trial) {
+	if s := m.suspects[t.Part]; s != nil {
+		s.trialUntil = max(s.trialUntil, t.At+trialTimeout)
+	}
+}
--- a/control/pkg/batchrun/crash_report.go
+++ b/control/pkg/batchrun/crash_report.go
@@ -15,8 +15,12 @@
 // cleared in the meantime.
 const maxQuarantineBackoff clock.Millis = 5_000
 
-// quarantinedUntil returns the time until which the item must not run because it is suspected of crashing
-// runners, or 0 if it may run. A quarantined item doesn't fail before it expires, because an accepted
+// minQuarantineBackoff is the shortest delay until such an item is checked again. While an item with a suspected part
+// of its prompt is tried, there may be thousands of others with it.
+const minQuarantineBackoff clock.Millis = 300
+
+// quarantinedUntil returns the time until which the item must not run because it, or a part of its prompt, is suspected
+// of crashing runners, or 0 if it may run. A quarantined item doesn't fail before it expires, because an accepted
 // item must be retried until then.
 func (r *run) quarantinedUntil(call runner.Call) clock.Millis {
 	x := r.driver.config.Exchange
@@ -24,10 +28,35 @@
 		return 0
 	}
 	verdict := x.CheckRequest(fingerprintOf(call))
+	if verdict.Status == crashes.Allowed {
+		verdict, _ = x.CheckParts(r.parts, false)
+	}
 	if verdict.Status == crashes.Allowed {
 		return 0
 	}
-	return verdict.Until
+	return max(verdict.Until, r.driver.config.Clock.Now()+minQuarantineBackoff)
+}
+
+// readParts reads the parts of the item's prompt that other requests may share.
+func (r *run) readParts(call runner.Call) {
+	var err error
+	if r.parts, err = r.driver.config.Client.SharedParts(call.Header); err != nil {
+		level.Warn(r.driver.config.Logger).Log(logs.KeyEvent, logs.EventPartsUnreadable, logs.KeyJob, r.key.Job, "index", r.key.Index,
+			logs.KeyItem, call.Request, logs.KeyError, err)
+	}
+}
+
+// recordAnswer records that the runner answers the item and didn't crash when it began. A runner that crashes may
+// have sent an event shortly before.
+func (r *run) recordAnswer() {
+	now := r.driver.config.Clock.Now()
+	if r.firstEventAt == 0 {
+		r.firstEventAt = now
+	}
+	if !r.answered && now-r.firstEventAt >= crashes.ConfirmedAnswer {
+		r.answered = true
+		r.driver.config.Exchange.RecordAnswer(r.parts, r.firstEventAt)
+	}
 }
 
 // reportCrash reports a crash if the call broke because its runner crashed.
@@ -43,21 +72,27 @@
 		running = elapsed
 	}
 	phase := crashes.PhaseOf(running, elapsed, true)
-	parts, err := config.Client.SharedParts(call.Header)
 	level.Info(config.Logger).Log(logs.KeyEvent, logs.EventRunnerCrashed, logs.KeyJob, r.key.Job, "index", r.key.Index,
 		logs.KeyItem, call.Request, logs.KeyFingerprint, fingerprintOf(call), "runner", call.Runner.GetId(), "running-ms", running,
-		logs.KeyParts, parts, logs.KeyError, err)
+		logs.KeyParts, r.parts)
 	if phase == crashes.Late {
 		config.Exchange.RecordSuccess(fingerprintOf(call))
 	}
 	config.Exchange.ReportCrash(call.Runner, fingerprintOf(call), phase)
+	if !r.answered {
+		config.Exchange.ReportPartCrash(call.Runner, fingerprintOf(call), r.parts, r.firstEventAt == 0)
+	}
 }
 
-// clearSuspicion clears a suspected item that ran without crashing its runner.
-func (r *run) clearSuspicion(call runner.Call) {
-	if x := r.driver.config.Exchange; x.HasSuspects() {
+// recordSuccess records that the item was answered completely.
+func (r *run) recordSuccess(call runner.Call) {
+	x := r.driver.config.Exchange
+	if x.HasSuspects() {
 		x.RecordSuccess(fingerprintOf(call))
 	}
+	if !r.answered {
+		x.RecordAnswer(r.parts, r.driver.config.Clock.Now())
+	}
 }
 
 func fingerprintOf(call runner.Call) crashes.Fingerprint {
--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -13,6 +13,7 @@
 
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/prompt"
 	"toucanhinge.example/common/pkg/runner"
 	"toucanhinge.example/common/pkg/sse"
 	"toucanhinge.example/control/pkg/callproxy"
@@ -90,6 +91,11 @@
 	previous *run
 	cancel   context.CancelFunc
 	done     chan struct{}
+	// parts are the parts of the item's prompt that other requests may share.
+	parts []prompt.PartID
+	// firstEventAt is when the first event arrived, 0 before. answered is set once the runner didn't crash by it.
+	firstEventAt clock.Millis
+	answered     bool
 
 	mu sync.Mutex
 	// halted reports whether the call must end. release ends the call early, with its partial answer retained.
@@ -142,6 +148,7 @@
 			"item", r.item, "discarded", discarded, "runner", r.target.GetId(), "software", r.target.GetVersion())
 	}
 	call := r.runnerCall(req)
+	r.readParts(call)
 	if until := r.quarantinedUntil(call); until > 0 {
 		return outcome{run: r, kind: quarantined, until: until}
 	}
@@ -149,7 +156,7 @@
 	kind, err := r.call(ctx, call)
 	switch kind {
 	case finished:
-		r.clearSuspicion(call)
+		r.recordSuccess(call)
 	case broken:
 		r.reportCrash(ctx, call, startedAt)
 	default:
@@ -243,6 +250,7 @@
 			return broken, err
 		}
 		onEvent()
+		r.recordAnswer()
 		if err := r.progress.add(event, r.target.GetVersion()); err != nil {
 			return broken, err
 		}
--- a/control/pkg/core/quarantines.go
+++ b/control/pkg/core/quarantines.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 
 	"toucanhinge.example/common/pkg/crashes"
 	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/prompt"
 	"toucanhinge.example/control/pkg/systemstate"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
@@ -57,24 +59,22 @@
 	return err
 }
 
-// quarantineKeys returns the sorted fingerprints of the quarantined requests, each with the number
-// of times it was quarantined.
+// quarantineKeys returns the quarantined requests and parts in order, each with the number of times it was
+// quarantined.
 func quarantineKeys(list []crashes.Quarantine) []quarantineKey {
 	keys := make([]quarantineKey, 0, len(list))
 	for _, q := range list {
-		keys = append(keys, quarantineKey{q.Fingerprint, q.Count})
+		keys = append(keys, quarantineKey{q.Fingerprint, q.Part, q.Count})
 	}
 	slices.SortFunc(keys, func(a, b quarantineKey) int {
-		if result := slices.Compare(a.fingerprint[:], b.fingerprint[:]); result != 0 {
-			return result
-		}
-		return a.count - b.count
+		return cmp.Or(slices.Compare(a.fingerprint[:], b.fingerprint[:]), cmp.Compare(a.part, b.part), cmp.Compare(a.count, b.count))
 	})
 	return keys
 }
 
-// quarantineKey identifies the nth quarantine of a request, where n is count.
+// quarantineKey identifies the nth quarantine of a request or part, where n is count.
 type quarantineKey struct {
 	fingerprint crashes.Fingerprint
+	part        prompt.PartID
 	count       int
 }
--- a/control/pkg/systemstate/quarantine.go
+++ b/control/pkg/systemstate/quarantine.go
@@ -5,6 +5,7 @@
 
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/crashes"
+	"toucanhinge.example/common/pkg/prompt"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
@@ -15,20 +16,26 @@
 func EncodeQuarantines(list []crashes.Quarantine) []*toucanhingev1.SavedQuarantine {
 	var saved []*toucanhingev1.SavedQuarantine
 	for _, q := range list {
-		saved = append(saved, &toucanhingev1.SavedQuarantine{
-			Content: q.Fingerprint[:], SinceMs: int64(q.Since), UntilMs: int64(q.Until), Terms: uint32(q.Count),
-		})
+		m := &toucanhingev1.SavedQuarantine{
+			Part: string(q.Part), SinceMs: int64(q.Since), UntilMs: int64(q.Until), Terms: uint32(q.Count),
+		}
+		if q.Part == "" {
+			m.Content = q.Fingerprint[:]
+		}
+		saved = append(saved, m)
 	}
 	return saved
 }
 
-// decodeQuarantines is the inverse of EncodeQuarantines. It skips entries whose fingerprint has another
+// decodeQuarantines is the inverse of EncodeQuarantines. It skips entries without a part whose fingerprint has another
 // length, which are from a newer program version.
 func decodeQuarantines(saved []*toucanhingev1.SavedQuarantine) []crashes.Quarantine {
 	var list []crashes.Quarantine
 	for _, m := range saved {
-		q := crashes.Quarantine{Since: clock.Millis(m.GetSinceMs()), Until: clock.Millis(m.GetUntilMs()), Count: int(m.GetTerms())}
-		if len(m.GetContent()) != len(q.Fingerprint) {
+		q := crashes.Quarantine{
+			Part: prompt.PartID(m.GetPart()), Since: clock.Millis(m.GetSinceMs()), Until: clock.Millis(m.GetUntilMs()), Count: int(m.GetTerms()),
+		}
+		if q.Part == "" && len(m.GetContent()) != len(q.Fingerprint) {
 			continue
 		}
 		copy(q.Fingerprint[:], m.GetContent())
--- a/control/pkg/systemstate/quarantine_test.go
+++ b/control/pkg/systemstate/quarantine_test.go
@@ -13,7 +13,7 @@
 // entry in the format of a newer program version is skipped.
 func TestQuarantinesAreRestored(t *testing.T) {
 	s := New(Config{})
-	list := []crashes.Quarantine{{Fingerprint: crashes.Fingerprint{1}, Since: 5, Until: 500, Count: 1}, {Fingerprint: crashes.Fingerprint{2}, Since: 7, Until: 900, Count: 3}}
+	list := []crashes.Quarantine{{Fingerprint: crashes.Fingerprint{1}, Since: 5, Until: 500, Count: 1}, {Fingerprint: crashes.Fingerprint{2}, Since: 7, Until: 900, Count: 3}, {Part: "a1", Since: 8, Until: 901, Count: 2}}
 	storeQuarantines := func(saved []*toucanhingev1.SavedQuarantine) {
 		s.Step(10, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_KeepQuarantines{
 			KeepQuarantines: &toucanhingev1.KeepQuarantinesStep{Quarantines: saved},
--- a/gateway/pkg/forward/crash.go
+++ b/gateway/pkg/forward/crash.go
@@ -11,6 +11,7 @@
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/crashes"
 	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/runner"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
@@ -19,20 +20,31 @@
 // unreachable and answers nothing.
 const connectCheckTimeout = 40 * time.Millisecond
 
-// checkQuarantine refuses a request that crashes runners, independent of its ID and of the gateways
-// that served it before. A suspected request waits until the crash reports of all gateways have
-// arrived: otherwise a retry 70 ms after a crash would crash one more runner.
+// maxSuspectedWait is how long a request waits while another one finds out whether a part of its prompt crashes
+// runners. Clients of streams wait two seconds.
+const maxSuspectedWait clock.Millis = 1_500
+
+// suspectedRetryAfter is the time after which a caller should retry a request that has waited for maxSuspectedWait.
+const suspectedRetryAfter = time.Second
+
+// checkQuarantine refuses a request that crashes runners, by itself or because of a part of its prompt, independent of
+// its ID and of the gateways that served it before. A suspected request waits until the crash reports of all gateways
+// have arrived: otherwise a retry 70 ms after a crash would crash one more runner. Of the requests with a suspected
+// part one runs at a time, and the others wait for its result.
 func (e *exchange) checkQuarantine(ctx context.Context) *Refusal {
-	x := e.server.config.Exchange
-	for x.HasSuspects() {
-		verdict := x.CheckRequest(e.requestFingerprint())
+	checkedAt := e.now()
+	for e.server.config.Exchange.HasSuspects() {
+		verdict, reason := e.verdict()
 		wait := (verdict.Until - e.now()).Duration()
 		switch verdict.Status {
 		case crashes.Quarantined:
-			return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonCrashes, RetryAfter: wait}
+			return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: wait}
 		case crashes.Allowed:
 			return nil
 		}
+		if reason == ReasonPartCrashes && e.now()-checkedAt >= maxSuspectedWait {
+			return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonPartSuspected, RetryAfter: suspectedRetryAfter}
+		}
 		// The slot isn't used meanwhile.
 		e.leaveQueue()
 		timer := time.NewTimer(wait)
@@ -46,6 +58,17 @@
 	return nil
 }
 
+// verdict decides whether the request may run, with the reason for a refusal.
+func (e *exchange) verdict() (crashes.Verdict, string) {
+	x := e.server.config.Exchange
+	if verdict := x.CheckRequest(e.requestFingerprint()); verdict.Status != crashes.Allowed {
+		return verdict, ReasonCrashes
+	}
+	verdict, trial := x.CheckParts(e.request.SharedParts, e.trial)
+	e.trial = e.trial || trial
+	return verdict, ReasonPartCrashes
+}
+
 // detectCrash reports a crash if a call broke because its runner crashed. A runner that is still
 // running may also break a connection; only a crashed one refuses a new connection.
 func (e *exchange) detectCrash(ctx context.Context, r *toucanhingev1.Runner, startedAt clock.Millis, err error) {
@@ -68,13 +91,35 @@
 		logs.KeyFingerprint, e.requestFingerprint(), "runner", r.GetId(), "ran", e.runs, "running-ms", running,
 		logs.KeyParts, e.request.SharedParts)
 	if phase == crashes.Late {
-		e.recordSuccess()
+		e.clearSuspicion()
 	}
 	e.server.config.Exchange.ReportCrash(r, e.requestFingerprint(), phase)
+	if !e.answered {
+		e.server.config.Exchange.ReportPartCrash(r, e.requestFingerprint(), e.request.SharedParts, e.callFirstEventAt == 0)
+	}
+}
+
+// recordAnswer records that the runner answers the request and didn't crash when it began. A runner that crashes may
+// have sent an event shortly before.
+func (e *exchange) recordAnswer() {
+	if e.answered || e.now()-e.callFirstEventAt < crashes.ConfirmedAnswer {
+		return
+	}
+	e.answered = true
+	e.server.config.Exchange.RecordAnswer(e.request.SharedParts, e.callFirstEventAt)
+}
+
+// recordSuccess records that the request was answered completely.
+func (e *exchange) recordSuccess(answer *runner.Answer) {
+	e.clearSuspicion()
+	if !e.answered && answer.Status == http.StatusOK {
+		e.answered = true
+		e.server.config.Exchange.RecordAnswer(e.request.SharedParts, e.now())
+	}
 }
 
-// recordSuccess clears the suspicion of a request that ran without crashing its runner.
-func (e *exchange) recordSuccess() {
+// clearSuspicion clears the suspicion of a request that ran without crashing its runner.
+func (e *exchange) clearSuspicion() {
 	if x := e.server.config.Exchange; x.HasSuspects() {
 		x.RecordSuccess(e.requestFingerprint())
 	}
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -89,7 +89,11 @@
 	callFirstEventAt clock.Millis
 	// fingerprint identifies equal requests; it is nil until it is needed.
 	fingerprint *crashes.Fingerprint
-	queued      bool
+	// trial is set if the request is the only one with a suspected part of its prompt that may run now.
+	trial bool
+	// answered is set once the answer of the current call has begun and its runner didn't crash.
+	answered bool
+	queued   bool
 	// leaveQueue takes the request out of the wait queue. It has no effect if the request doesn't wait.
 	leaveQueue func()
 	// turn is what the request found when it last looked for a slot as a waiter.
@@ -177,7 +181,7 @@
 	switch refusal.Reason {
 	case ReasonTimeLimit:
 		answer.Status = http.StatusGatewayTimeout
-	case ReasonCrashes:
+	case ReasonCrashes, ReasonPartCrashes, ReasonPartSuspected:
 		answer.RetryAfter = refusal.RetryAfter
 	}
 	e.server.Refuse(e.w, answer)
@@ -200,7 +204,7 @@
 	// Only now the next waiters see that the slot is taken.
 	e.leaveQueue()
 	startedAt := e.now()
-	e.callFirstEventAt, e.callEvents = 0, 0
+	e.callFirstEventAt, e.callEvents, e.answered = 0, 0, false
 	timer := e.startEventTimer(cancel)
 	defer timer.stop()
 	var watch *digest.Watch
@@ -225,6 +229,7 @@
 		return e.handleNotRun(r, answer)
 	}
 	e.runs++
+	e.trial = false
 	// An answer whose header was sent can only continue with events; a failure may be retried.
 	if e.headerSent && answer.Status != http.StatusOK || answer.Status >= http.StatusInternalServerError && e.mayRetry() {
 		return e.handleBrokenCall(parent, r, startedAt, fmt.Errorf("%w: %d", errRunnerFailed, answer.Status))
@@ -235,7 +240,7 @@
 		err = e.copyBody(answer)
 	}
 	if err == nil {
-		e.recordSuccess()
+		e.recordSuccess(answer)
 		e.setOutcome(answer)
 		if e.outcome == outcomeRunnerFailed {
 			// A runner may fail a part of its requests although it accepts all. Its slots are free again
--- a/gateway/pkg/forward/request.go
+++ b/gateway/pkg/forward/request.go
@@ -70,6 +70,10 @@
 	// ReasonCrashes means that the request crashes runners and is quarantined until the time of its
 	// Retry-After header.
 	ReasonCrashes = "crashes-runners"
+	// ReasonPartCrashes means the same of a part of the request's prompt, and ReasonPartSuspected that another request
+	// finds out at the moment whether it does.
+	ReasonPartCrashes   = "prompt-part-crashes-runners"
+	ReasonPartSuspected = "prompt-part-suspected"
 	// ReasonNoKey and ReasonUnknownKey mean that the request has no key, or one that no team holds.
 	ReasonNoKey      = "no-key"
 	ReasonUnknownKey = "unknown-key"
--- a/gateway/pkg/forward/retry.go
+++ b/gateway/pkg/forward/retry.go
@@ -29,6 +29,7 @@
 		return e.recordRetry(r, "unreachable", err)
 	}
 	e.runs++
+	e.trial = false
 	return e.handleBrokenCall(ctx, r, startedAt, err)
 }
 
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -99,6 +99,9 @@
 	factory.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "toucanhinge_requests_quarantined", Help: "Quarantined requests, which no runner may run.",
 	}, func() float64 { return float64(config.Exchange.QuarantineCount()) })
+	factory.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "toucanhinge_parts_quarantined", Help: "Quarantined parts of prompts: no runner may run a request with one.",
+	}, func() float64 { return float64(config.Exchange.PartQuarantineCount()) })
 	factory.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "toucanhinge_stream_origins", Help: "Streams whose origins are known here.",
 	}, func() float64 { return float64(config.Exchange.OriginCount()) })
--- a/gateway/pkg/forward/stream.go
+++ b/gateway/pkg/forward/stream.go
@@ -82,6 +82,7 @@
 			return fmt.Errorf("%w: %w", errCallerLeft, err)
 		}
 		e.recordOrigin()
+		e.recordAnswer()
 	}
 }
 
--- /dev/null
+++ b/lab/pkg/crashreplay/gateway.go
@@ -0,0 +1,147 @@
+package crashreplay
+
+import (
+	"fmt"
+
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/crashes"
+	"toucanhinge.example/common/pkg/partcrashes"
+	"toucanhinge.example/common/pkg/prompt"
+)
+
+// gateway decides with machines of its own and exchanges messages with the others.
+type gateway struct {
+	fleet    *Fleet
+	requests *crashes.Machine
+	parts    *partcrashes.Machine
+}
+
+func newGateway(f *Fleet, n, runners int) *gateway {
+	g := &gateway{fleet: f, requests: crashes.New(), parts: partcrashes.New(partcrashes.Config{Name: fmt.Sprint("gateway ", n)})}
+	g.requests.SetRunnerCount(runners)
+	return g
+}
+
+// check decides whether a request may run; byPart is set if its parts decide.
+func (g *gateway) check(q *request) (verdict crashes.Verdict, byPart bool) {
+	f := g.fleet
+	verdict = g.requests.Evaluate(f.now, q.fingerprint)
+	g.broadcastQuarantines()
+	if verdict.Status != crashes.Allowed {
+		return verdict, false
+	}
+	verdict, trials := g.parts.Evaluate(f.now, q.parts, q.trial)
+	g.broadcastQuarantines()
+	for _, t := range trials {
+		q.trial = true
+		g.broadcast(func(o *gateway) { o.parts.ApplyTrial(t) })
+	}
+	return verdict, true
+}
+
+func (g *gateway) broadcastQuarantines() {
+	for _, q := range g.requests.PopNewQuarantines() {
+		g.broadcast(func(o *gateway) { o.requests.ApplyQuarantine(g.fleet.now, q) })
+	}
+	for _, q := range g.parts.PopNewQuarantines() {
+		if g.fleet.isHarmless(q.Part) {
+			g.fleet.QuarantinedParts[q.Part] = true
+		}
+		g.broadcast(func(o *gateway) { o.parts.ApplyQuarantine(g.fleet.now, q) })
+	}
+}
+
+// isHarmless reports whether a part crashes no runner and isn't the companion of one that does.
+func (f *Fleet) isHarmless(part prompt.PartID) bool {
+	for n := range f.config.Parts.Crashing {
+		if part == CrashingPart(n) || f.config.Parts.Paired && part == CrashingPart(n)+" companion" {
+			return false
+		}
+	}
+	return true
+}
+
+// recordSuccess records that a request was answered completely.
+func (g *gateway) recordSuccess(q *request) {
+	if !g.requests.IsSuspect(q.fingerprint) {
+		return
+	}
+	now := g.fleet.now
+	clearance := crashes.Clearance{Fingerprint: q.fingerprint, At: now}
+	g.requests.Clear(now, clearance)
+	g.broadcast(func(o *gateway) { o.requests.Clear(g.fleet.now, clearance) })
+}
+
+func (g *gateway) recordAnswer(parts []prompt.PartID, at clock.Millis) {
+	for _, a := range g.parts.RecordAnswer(parts, at) {
+		g.broadcastAnswer(a)
+	}
+}
+
+func (g *gateway) broadcastAnswer(a partcrashes.Answer) {
+	g.broadcast(func(o *gateway) { o.parts.ApplyAnswer(a) })
+}
+
+// reportCrash reports a run that ended with a crash. streamed is the time since its first event, negative for none.
+func (g *gateway) reportCrash(x *run, crash crashes.Crash, streamed clock.Millis) {
+	f, q := g.fleet, x.request
+	report := crashes.Report{Crash: crash, Fingerprint: q.fingerprint, Phase: crashes.PhaseOf(streamed, f.now-x.sent, true), At: f.now}
+	if report.Phase == crashes.Late {
+		g.recordSuccess(q)
+	}
+	if report.Phase != crashes.Late || !g.requests.KnowsCrash(crash) {
+		g.requests.AddReport(f.now, report)
+		g.broadcast(func(o *gateway) { o.requests.AddReport(f.now, report) })
+	}
+	if !x.answered && len(q.parts) > 0 {
+		g.reportParts(partcrashes.Report{Crash: crash, Request: q.fingerprint, Parts: q.parts, Unanswered: streamed < 0, At: f.now, Own: true})
+	}
+	g.broadcastQuarantines()
+}
+
+// reportParts reports the parts of a run that ended with a crash, with the newest known answers to requests with them.
+func (g *gateway) reportParts(report partcrashes.Report) {
+	known := map[prompt.PartID]clock.Millis{}
+	for _, part := range report.Parts {
+		if at := g.parts.LastAnswer(part); at > 0 {
+			known[part] = at
+		}
+	}
+	g.parts.AddReport(g.fleet.now, report)
+	report.Own = false
+	g.broadcast(func(o *gateway) {
+		for _, a := range o.parts.UnknownAnswers(report, known) {
+			g.fleet.after(3, func() { o.broadcastAnswer(a) })
+		}
+		for part, at := range known {
+			o.parts.ApplyAnswer(partcrashes.Answer{Part: part, At: at})
+		}
+		o.parts.AddReport(g.fleet.now, report)
+	})
+}
+
+// broadcast delivers a message to each other gateway after 4 to 24 ms, and 40 ms later for each time that it is lost.
+func (g *gateway) broadcast(apply func(*gateway)) {
+	const resendInterval, resends = 40, 2
+	f := g.fleet
+	for _, other := range f.gateways {
+		if other == g {
+			continue
+		}
+		delay := 4 + f.draw(20)
+		for attempt := 0; f.random.Float64() < f.config.Loss; attempt++ {
+			if attempt == resends {
+				delay = -1
+				break
+			}
+			delay += resendInterval
+		}
+		if delay > 0 {
+			f.after(delay, func() {
+				apply(other)
+				// The quarantine is announced by the gateway that imposed it first.
+				other.requests.PopNewQuarantines()
+			})
+		}
+	}
+}
--- /dev/null
+++ b/lab/pkg/crashreplay/request.go
@@ -0,0 +1,97 @@
+package crashreplay
+
+import (
+	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/crashes"
+	"toucanhinge.example/common/pkg/prompt"
+)
+
+const (
+	runTime     clock.Millis = 900
+	retryDelay  clock.Millis = 70
+	maxRuns                  = 2
+	noticeLimit clock.Millis = 3_000
+	// maxSuspectedWait is how long a gateway delays a request with a suspected part, suspectedRetryAfter the time after
+	// which its caller retries.
+	maxSuspectedWait    clock.Millis = 1_500
+	suspectedRetryAfter clock.Millis = 1_000
+)
+
+// request is a request of a caller, with all its attempts.
+type request struct {
+	fingerprint crashes.Fingerprint
+	parts       []prompt.PartID
+	// crashing is set if the request crashes its runners, crashingPart is the part that is the cause, if any.
+	crashing     bool
+	crashingPart prompt.PartID
+	// remaining is the remaining run time, attempts the number of retries by the caller.
+	remaining clock.Millis
+	attempts  int
+	runs      int
+	// checkedAt is when the gateway began to check the request, trial is set if it is the trial of a suspected part.
+	checkedAt clock.Millis
+	trial     bool
+	// first is the index of its first attempt among the results, began is set once an event arrived.
+	first int
+	began bool
+}
+
+// arrive sends an attempt of a caller to a random gateway.
+func (f *Fleet) arrive(q *request) {
+	q.runs, q.checkedAt, q.trial = 0, f.now, false
+	if !q.crashing && q.attempts == 0 {
+		q.first = len(f.Attempts)
+		f.Attempts = append(f.Attempts, Attempt{At: f.now})
+	}
+	f.place(q, f.gateways[f.random.IntN(len(f.gateways))])
+}
+
+func (f *Fleet) retry(q *request, delay clock.Millis) {
+	if q.attempts >= f.config.Retries && (!q.crashing || q.crashingPart != "") {
+		return
+	}
+	q.attempts++
+	f.after(delay, func() { f.arrive(q) })
+}
+
+// place sends a request to the runner with the lowest load.
+func (f *Fleet) place(q *request, g *gateway) {
+	verdict, byPart := g.check(q)
+	switch verdict.Status {
+	case crashes.Delayed:
+		if byPart && f.now-q.checkedAt >= maxSuspectedWait {
+			f.Refused++
+			f.retry(q, suspectedRetryAfter)
+			return
+		}
+		f.after(max(verdict.Until-f.now, 1), func() { f.place(q, g) })
+		return
+	case crashes.Quarantined:
+		if f.Harmless[q.fingerprint] {
+			f.Quarantined[q.fingerprint] = true
+		}
+		f.Refused++
+		f.retry(q, retryDelay)
+		return
+	}
+	r := f.leastLoaded()
+	if r == nil {
+		f.retry(q, retryDelay)
+		return
+	}
+	q.runs++
+	q.trial = false
+	f.countRun(q)
+	r.waiting = append(r.waiting, &run{request: q, gateway: g, runner: r, sent: f.now})
+	f.startNext(r)
+}
+
+func (f *Fleet) countRun(q *request) {
+	f.Runs[q.fingerprint]++
+	if thirdAt := f.thirdAt[q.fingerprint]; thirdAt > 0 && f.now > thirdAt+noticeLimit {
+		f.LateRuns[q.fingerprint]++
+	}
+	if q.crashingPart != "" {
+		f.PartSent[q.crashingPart] = append(f.PartSent[q.crashingPart], f.now)
+	}
+}
