--- a/common/pkg/crashes/machine_test.go
+++ b/common/pkg/crashes/machine_test.go
@@ -55,7 +55,7 @@
 		now = verdict.Until + minute
 		require.Equal(t, Allowed, m.Evaluate(now, bad).Status)
 		m.AddReport(now, Report{Crash: Crash{Runner: fmt.Sprint("again", n)}, Fingerprint: bad, Phase: BeforeFirstEvent, At: now})
-		duration = min(2*duration, maxQuarantine)
+		duration = min(2*duration, MaxQuarantine)
 	}
 }
 
@@ -117,8 +117,8 @@
 	require.Equal(t, Verdict{Quarantined, start + minute}, m.Evaluate(start, bad))
 	require.Len(t, m.Quarantines(start), 1)
 	// A quarantine that lasts for years or has already ended results from a faulty clock or peer.
-	m.ApplyQuarantine(start, Quarantine{Fingerprint: bad, Since: start, Until: start + 1_000*maxQuarantine, Count: 2})
-	require.Equal(t, start+maxQuarantine, m.Evaluate(start, bad).Until)
+	m.ApplyQuarantine(start, Quarantine{Fingerprint: bad, Since: start, Until: start + 1_000*MaxQuarantine, Count: 2})
+	require.Equal(t, start+MaxQuarantine, m.Evaluate(start, bad).Until)
 	require.False(t, m.ApplyQuarantine(start, Quarantine{Fingerprint: testFingerprint(2), Since: start - minute, Until: start, Count: 1}))
 }
 
@@ -169,16 +169,16 @@
 			default:
 				if verdict := m.Evaluate(now, fingerprint); verdict.Status != Allowed {
 					require.Greater(t, verdict.Until, now)
-					require.LessOrEqual(t, verdict.Until, now+maxQuarantine)
+					require.LessOrEqual(t, verdict.Until, now+MaxQuarantine)
 				}
 			}
 			require.LessOrEqual(t, len(m.suspects), maxSuspects)
 			require.LessOrEqual(t, len(m.crashes), maxCrashes)
 			require.LessOrEqual(t, len(m.cleared), maxSuspects)
 		}
-		now += maxQuarantine + retention + 1
+		now += MaxQuarantine + retention + 1
 		m.Expire(now)
-		m.Expire(now + maxQuarantine + retention)
+		m.Expire(now + MaxQuarantine + retention)
 		require.True(t, m.Empty())
 		require.Empty(t, m.crashes)
 	})
--- a/common/pkg/crashes/quarantine.go
+++ b/common/pkg/crashes/quarantine.go
@@ -14,8 +14,8 @@
 	// seconds, so the quarantine mainly stops later callers with the same request. Finding out
 	// whether a repaired runner can run the request costs one crash.
 	initialQuarantine clock.Millis = 5 * 60_000
-	// maxQuarantine limits the duration, which doubles with each crash after a quarantine.
-	maxQuarantine clock.Millis = 60 * 60_000
+	// MaxQuarantine limits the duration, which doubles with each crash after a quarantine.
+	MaxQuarantine clock.Millis = 60 * 60_000
 	// recentCrash is how long gossip includes every crash, for daemons that missed its broadcast.
 	recentCrash clock.Millis = 5_000
 )
@@ -47,7 +47,7 @@
 // quarantine imposes the next quarantine on a suspect.
 func (m *Machine) quarantine(now clock.Millis, s *suspect) {
 	count := s.quarantine.Count + 1
-	m.setQuarantine(s, Quarantine{Fingerprint: s.fingerprint, Since: now, Until: now + quarantineDuration(count), Count: count})
+	m.setQuarantine(s, Quarantine{Fingerprint: s.fingerprint, Since: now, Until: now + QuarantineDuration(initialQuarantine, count), Count: count})
 	m.newQuarantines = append(m.newQuarantines, s.quarantine)
 }
 
@@ -67,12 +67,12 @@
 	}
 }
 
-// quarantineDuration returns the duration of a request's quarantine, given the number of its
-// quarantines so far including this one.
-func quarantineDuration(count int) clock.Millis {
-	duration := initialQuarantine
+// QuarantineDuration returns the duration of a quarantine, given that of the first one and the number of quarantines so
+// far including this one.
+func QuarantineDuration(first clock.Millis, count int) clock.Millis {
+	duration := first
 	for range count - 1 {
-		duration = min(2*duration, maxQuarantine)
+		duration = min(2*duration, MaxQuarantine)
 	}
 	return duration
 }
@@ -80,7 +80,7 @@
 // ApplyQuarantine applies a quarantine that another daemon imposed. It reports whether the request
 // was not quarantined before.
 func (m *Machine) ApplyQuarantine(now clock.Millis, quarantine Quarantine) bool {
-	quarantine.Until = min(quarantine.Until, now+maxQuarantine)
+	quarantine.Until = min(quarantine.Until, now+MaxQuarantine)
 	if quarantine.Until <= now || m.cleared[quarantine.Fingerprint] > 0 &&
 		m.cleared[quarantine.Fingerprint] >= quarantine.Since-propagationDelay {
 		return false
--- a/common/pkg/partcrashes/evidence.go
+++ b/common/pkg/partcrashes/evidence.go
@@ -138,7 +138,7 @@
 	for id := range s.sightings {
 		if c := m.crashes[id]; c.cause == "" {
 			for other := range c.suspects {
-				found[other] = other != s.part
+				found[other] = true
 			}
 		}
 	}
--- a/common/pkg/partcrashes/machine_test.go
+++ b/common/pkg/partcrashes/machine_test.go
@@ -227,7 +227,7 @@
 		f.now = q.Until
 		require.Equal(t, 1, tryPart())
 		f.crash(fmt.Sprint("again ", n), caller, bad)
-		duration = min(2*duration, maxQuarantine)
+		duration = min(2*duration, crashes.MaxQuarantine)
 	}
 	f.now = f.Quarantines(f.now)[0].Until
 	require.Equal(t, 1, tryPart())
@@ -273,10 +273,10 @@
 	require.False(t, m.ApplyQuarantine(start, q), "duplicate")
 	verdict, _ := m.Evaluate(start, []prompt.PartID{bad}, false)
 	require.Equal(t, crashes.Verdict{Status: crashes.Quarantined, Until: q.Until}, verdict)
-	q.Until, q.Count = start+1_000*maxQuarantine, 2
+	q.Until, q.Count = start+1_000*crashes.MaxQuarantine, 2
 	m.ApplyQuarantine(start, q)
 	verdict, _ = m.Evaluate(start, []prompt.PartID{bad}, false)
-	require.Equal(t, start+maxQuarantine, verdict.Until, "a quarantine for years results from a faulty clock or peer")
+	require.Equal(t, start+crashes.MaxQuarantine, verdict.Until, "a quarantine for years results from a faulty clock or peer")
 	require.True(t, m.ApplyAnswer(Answer{Part: bad, At: start}))
 	require.False(t, m.ApplyQuarantine(start, q), "the answer is newer")
 	require.True(t, m.Empty())
@@ -359,7 +359,7 @@
 			default:
 				if verdict, trials := m.Evaluate(now, []prompt.PartID{part(), part()}, false); verdict.Status != crashes.Allowed {
 					require.Greater(t, verdict.Until, now)
-					require.LessOrEqual(t, verdict.Until, now+maxQuarantine)
+					require.LessOrEqual(t, verdict.Until, now+crashes.MaxQuarantine)
 					require.Empty(t, trials)
 				}
 			}
@@ -369,9 +369,9 @@
 				require.True(t, len(s.sightings) > 0 || s.quarantine.Count > 0)
 			}
 		}
-		now += maxQuarantine + retention + 1
+		now += crashes.MaxQuarantine + retention + 1
 		m.Expire(now)
-		m.Expire(now + maxQuarantine + retention)
+		m.Expire(now + crashes.MaxQuarantine + retention)
 		require.True(t, m.Empty())
 		require.Empty(t, m.crashes)
 	})
--- a/common/pkg/partcrashes/quarantine.go
+++ b/common/pkg/partcrashes/quarantine.go
@@ -17,8 +17,6 @@
 	// initialAlone is this duration if no other request was answered meanwhile. Then the cause may be the runners
 	// themselves, and all requests would be refused for long.
 	initialAlone clock.Millis = 5_000
-	// maxQuarantine limits the duration, which doubles with each crash after a quarantine.
-	maxQuarantine clock.Millis = 60 * 60_000
 	// recentCrash is how long gossip includes every crash, for daemons that missed its broadcast.
 	recentCrash clock.Millis = 5_000
 )
@@ -29,10 +27,8 @@
 	if !contrast {
 		duration = initialAlone
 	}
-	for range s.quarantine.Count {
-		duration = min(2*duration, maxQuarantine)
-	}
-	return crashes.Quarantine{Part: s.part, Since: now, Until: now + duration, Count: s.quarantine.Count + 1}
+	count := s.quarantine.Count + 1
+	return crashes.Quarantine{Part: s.part, Since: now, Until: now + crashes.QuarantineDuration(duration, count), Count: count}
 }
 
 // setQuarantine sets the quarantine of a suspect and marks the suspect as the cause of its crashes.
@@ -54,7 +50,7 @@
 // ApplyQuarantine applies a quarantine that another daemon imposed. It reports whether the part was not quarantined
 // before.
 func (m *Machine) ApplyQuarantine(now clock.Millis, quarantine crashes.Quarantine) bool {
-	quarantine.Until = min(quarantine.Until, now+maxQuarantine)
+	quarantine.Until = min(quarantine.Until, now+crashes.MaxQuarantine)
 	if quarantine.Until <= now || m.LastAnswer(quarantine.Part)+propagationDelay >= quarantine.Since {
 		return false
 	}
