Keep a finished item's text from its next call

Cause: an item that yields starts again at once, and its next call waits for the end of the first. The end of the stream can cross the preemption, so that the first call ends with the complete text after all. The next call took no notice: it discarded the text, which its runner's software version couldn't continue, or wrote events of its own, before the driver had handled the first call's outcome. That outcome still counted, and the driver logged whatever the shared text held by then.

Ruled out: a gateway that ends a released call like a complete one (it names a failure unless it has read the end); progress that a new leader read back (the leader didn't change).

Mended: outcomes are queued before a call counts as ended, and a call whose predecessor ended with the item's result ends as "superseded" and sends nothing. So nobody writes to, discards or continues a text after the call that read its end, and a finished or impossible item isn't sent to a runner once more.

--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -370,10 +370,11 @@
 		o := r.run(runCtx)
 		cancel()
 		d.config.Exchange.Add(start.Runner.GetId(), occupancy.Load{Batch: -1})
-		close(r.done)
+		r.kind = o.kind
 		d.mu.Lock()
 		d.ended = append(d.ended, o)
 		d.mu.Unlock()
+		close(r.done)
 		d.Wake()
 	}()
 }
--- a/control/pkg/batchrun/outcome.go
+++ b/control/pkg/batchrun/outcome.go
@@ -48,6 +48,9 @@
 		d.machine.Stopped(now, key, refusedBackoff)
 	case quarantined:
 		d.machine.Stopped(now, key, min(max(o.until-now, 0), maxQuarantineBackoff))
+	case superseded:
+		// The earlier call's outcome was handled before and has ended the item.
+		d.machine.Stopped(now, key, refusedBackoff)
 	case paused:
 	}
 	d.machine.SetVersion(key, o.run.progress.writtenBy())
--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -65,6 +65,8 @@
 	paused outcomeKind = "paused"
 	// quarantined: the item is suspected of crashing runners and was not sent.
 	quarantined outcomeKind = "withheld"
+	// superseded: an earlier call of the item ended with its result, and this one was not sent.
+	superseded outcomeKind = "superseded"
 )
 
 // isVerdict reports whether the outcome is the runner's verdict on the item itself. A verdict counts even if
@@ -72,6 +74,9 @@
 // coincides with a preemption (one item ran five times).
 func (k outcomeKind) isVerdict() bool { return k == finished || k == impossible || k == failed }
 
+// endsItem reports whether the item needs no further call.
+func (k outcomeKind) endsItem() bool { return k == finished || k == impossible || k == superseded }
+
 type outcome struct {
 	run  *run
 	kind outcomeKind
@@ -90,7 +95,9 @@
 	// previous is the item's previous call, which may not have ended yet.
 	previous *run
 	cancel   context.CancelFunc
-	done     chan struct{}
+	// done is closed when the call has ended with the outcome kind, and the driver has queued that outcome.
+	done chan struct{}
+	kind outcomeKind
 	// parts are the parts of the item's prompt that other requests may share.
 	parts []prompt.PartID
 	// firstEventAt is when the first event arrived, 0 before. answered is set once the runner didn't crash by it.
@@ -135,7 +142,12 @@
 func (r *run) run(ctx context.Context) outcome {
 	if r.previous != nil {
 		<-r.previous.done
+		ended := r.previous.kind.endsItem()
 		r.previous = nil
+		if ended {
+			// The text is a result from now on, so that it must neither be discarded nor continued.
+			return outcome{run: r, kind: superseded}
+		}
 	}
 	req, err := r.driver.itemRequest(r.key)
 	if err != nil {
