--- a/control/pkg/batchrun/progress.go
+++ b/control/pkg/batchrun/progress.go
@@ -73,11 +73,19 @@
 	return p.version
 }
 
-// unlogged returns the text that isn't logged yet, with the last logged event and the last event.
-func (p *progress) unlogged() (after, last uint64, text []byte) {
+// textPart is the part of a text behind the event after, up to the event last.
+type textPart struct {
+	after, last uint64
+	text        []byte
+	// version is the software version that wrote the text.
+	version string
+}
+
+// unlogged returns the text that isn't logged yet.
+func (p *progress) unlogged() textPart {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.loggedLast, p.last, slices.Clone(p.text[p.loggedBytes:])
+	return textPart{p.loggedLast, p.last, slices.Clone(p.text[p.loggedBytes:]), p.version}
 }
 
 // logsParts reports whether the text may be logged before it is complete.
@@ -87,16 +95,15 @@
 	return !p.restarted
 }
 
-// markLogged records that the text up to the event last is logged. bytes is the length of the text that was
-// logged since the previous call. It has no effect if that text was discarded meanwhile.
-func (p *progress) markLogged(last uint64, bytes int) {
+// markLogged records that a part of the text is logged. It has no effect if the text was discarded meanwhile.
+func (p *progress) markLogged(part textPart) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.restarted {
 		return
 	}
-	p.loggedLast = last
-	p.loggedBytes += bytes
+	p.loggedLast = part.last
+	p.loggedBytes += len(part.text)
 }
 
 // fullText returns the text from the first event on.
--- a/control/pkg/batchrun/progress_log.go
+++ b/control/pkg/batchrun/progress_log.go
@@ -46,16 +46,18 @@
 		if bytes >= maxProgressLogBytes {
 			break
 		}
-		after, last, text := p.unlogged()
+		part := p.unlogged()
 		p.proposedAt = now
-		if last == after {
+		if part.last == part.after {
 			continue
 		}
-		bytes += len(text)
+		bytes += len(part.text)
 		steps = append(steps, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_KeepProgress{
-			KeepProgress: &toucanhingev1.KeepProgressStep{Job: key.Job, Item: key.Index, After: after, Last: last, Text: text, Version: p.writtenBy()},
+			KeepProgress: &toucanhingev1.KeepProgressStep{
+				Job: key.Job, Item: key.Index, After: part.after, Last: part.last, Text: part.text, Version: part.version,
+			},
 		}})
-		onLogged = append(onLogged, func() { p.markLogged(last, len(text)) })
+		onLogged = append(onLogged, func() { p.markLogged(part) })
 	}
 	if len(steps) == 0 {
 		d.loggingProgress.Store(false)
--- a/control/pkg/batchrun/progress_test.go
+++ b/control/pkg/batchrun/progress_test.go
@@ -32,14 +32,40 @@
 	for id := range uint64(4) {
 		require.NoError(t, p.add(event(id+1), "v1"))
 	}
-	after, last, text := p.unlogged()
-	require.Zero(t, after)
+	part := p.unlogged()
+	require.Zero(t, part.after)
 	require.Equal(t, uint64(4), p.prepare("v2"))
-	p.markLogged(last, len(text))
+	p.markLogged(part)
 	require.False(t, p.logsParts())
 	require.NoError(t, p.add(event(1), "v2"))
-	after, last, text = p.unlogged()
-	require.Zero(t, after, "the whole text replaces the logged one")
-	require.Equal(t, uint64(1), last)
-	require.Equal(t, "x", string(text))
+	part = p.unlogged()
+	require.Zero(t, part.after, "the whole text replaces the logged one")
+	require.Equal(t, uint64(1), part.last)
+	require.Equal(t, "x", string(part.text))
+}
+
+// Guards against a logged text with the name of another software version: the next leader would continue it there.
+func TestLoggedPartNamesVersionThatWroteIt(t *testing.T) {
+	const rounds = 20_000
+	versions := []string{"v1", "v2"}
+	p := &progress{}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for n := range rounds {
+			version := versions[n%2]
+			p.prepare(version)
+			_ = p.add(sse.Event{Numbered: true, ID: 1, Data: []byte(version)}, version)
+		}
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		if part := p.unlogged(); len(part.text) > 0 {
+			require.Equal(t, part.version, string(part.text))
+		}
+	}
 }
--- a/control/pkg/batchrun/results.go
+++ b/control/pkg/batchrun/results.go
@@ -49,8 +49,8 @@
 		}}}
 	}
 	d.background(func() {
-		after, _, text := p.unlogged()
-		if listed, ok := d.logWithRetry(ctx, finish(after, text)).(bool); ok && !listed {
+		part := p.unlogged()
+		if listed, ok := d.logWithRetry(ctx, finish(part.after, part.text)).(bool); ok && !listed {
 			d.logWithRetry(ctx, finish(0, p.fullText()))
 		}
 	})
