Suspect no batch item of crashing runners

What callers saw: nothing yet; the users reported it from a system like this one. Several runners die during a burst of crashes while they run the same sound item. Afterwards all is calm, and the item is never placed again: it is owed, and its job stays open.

Cause: an item has one fingerprint for good. Three crashes under it, for whatever reason, quarantined the fingerprint for five minutes, twice as long with each further crash, up to an hour, in the log over changes of leader. Clients' requests come and go; nothing else could clear an item, since nothing runs it while the quarantine lasts.

Evidence: TestItemUnderWhichRunnersCrashedIsStillOwed failed before: after three crashes and with all runners sound, no further call within ten seconds.

It is still reported as a crash that requests may meet by chance, and against the parts of the prompt that requests share. Instead, an item rests after its second crash in a row, 0.5 s and twice as long each time, 3 s at most, so that it doesn't meet each crash of a burst. A run that outlasts the time in which a runner crashes by a request ends the row.

--- a/control/pkg/batchrun/crash_report.go
+++ b/control/pkg/batchrun/crash_report.go
@@ -11,26 +11,22 @@
 	"toucanhinge.example/common/pkg/runner"
 )
 
-// maxQuarantineBackoff is the longest delay until a quarantined item is checked again: it may have been
-// cleared in the meantime.
+// maxQuarantineBackoff is the longest delay until an item with a quarantined part is checked again: the part may have
+// been cleared in the meantime.
 const maxQuarantineBackoff clock.Millis = 5_000
 
 // minQuarantineBackoff is the shortest delay until such an item is checked again. While an item with a suspected part
 // of its prompt is tried, there may be thousands of others with it.
 const minQuarantineBackoff clock.Millis = 300
 
-// quarantinedUntil returns the time until which the item must not run because it, or a part of its prompt, is suspected
-// of crashing runners, or 0 if it may run. A quarantined item doesn't fail before it expires, because an accepted
-// item must be retried until then.
-func (r *run) quarantinedUntil(call runner.Call) clock.Millis {
+// quarantinedUntil returns the time until which the item must not run because a part of its prompt is suspected of
+// crashing runners, or 0 if it may run. The item as a whole is never suspected.
+func (r *run) quarantinedUntil() clock.Millis {
 	x := r.driver.config.Exchange
 	if !x.HasSuspects() {
 		return 0
 	}
-	verdict := x.CheckRequest(fingerprintOf(call))
-	if verdict.Status == crashes.Allowed {
-		verdict, _ = x.CheckParts(r.parts, false)
-	}
+	verdict, _ := x.CheckParts(r.parts, false)
 	if verdict.Status == crashes.Allowed {
 		return 0
 	}
@@ -59,11 +55,11 @@
 	}
 }
 
-// reportCrash reports a crash if the call broke because its runner crashed.
-func (r *run) reportCrash(ctx context.Context, call runner.Call, startedAt clock.Millis) {
+// reportCrash reports a crash if the call broke because its runner crashed, and returns the outcome of the call.
+func (r *run) reportCrash(ctx context.Context, call runner.Call, startedAt clock.Millis) outcomeKind {
 	config := r.driver.config
 	if config.Client.Refuses == nil || ctx.Err() != nil || !config.Client.Refuses(ctx, call.Runner) {
-		return
+		return broken
 	}
 	elapsed, running := config.Clock.Now()-startedAt, clock.Millis(-1)
 	if r.progress.lastEvent() > call.After {
@@ -71,27 +67,25 @@
 		// slots, so the item has run since the call was sent.
 		running = elapsed
 	}
-	phase := crashes.PhaseOf(running, elapsed, true)
+	r.ranLong = r.answered || crashes.PhaseOf(running, elapsed, true) == crashes.Late
 	level.Info(config.Logger).Log(logs.KeyEvent, logs.EventRunnerCrashed, logs.KeyJob, r.key.Job, "index", r.key.Index,
 		logs.KeyItem, call.Request, logs.KeyFingerprint, fingerprintOf(call), "runner", call.Runner.GetId(), "running-ms", running,
 		logs.KeyParts, r.parts)
-	if phase == crashes.Late {
-		config.Exchange.RecordSuccess(fingerprintOf(call))
-	}
-	config.Exchange.ReportCrash(call.Runner, fingerprintOf(call), phase)
+	// The crash counts among those that requests meet by chance; the item isn't its cause.
+	config.Exchange.ReportCrash(call.Runner, fingerprintOf(call), crashes.Late)
 	if !r.answered {
 		config.Exchange.ReportPartCrash(call.Runner, fingerprintOf(call), r.parts, r.firstEventAt == 0)
 	}
+	if r.ranLong {
+		return broken
+	}
+	return crashed
 }
 
-// recordSuccess records that the item was answered completely.
-func (r *run) recordSuccess(call runner.Call) {
-	x := r.driver.config.Exchange
-	if x.HasSuspects() {
-		x.RecordSuccess(fingerprintOf(call))
-	}
+// recordCompletion records that the runner answered the item completely.
+func (r *run) recordCompletion() {
 	if !r.answered {
-		x.RecordAnswer(r.parts, r.driver.config.Clock.Now())
+		r.driver.config.Exchange.RecordAnswer(r.parts, r.driver.config.Clock.Now())
 	}
 }
 
--- a/control/pkg/batchrun/outcome.go
+++ b/control/pkg/batchrun/outcome.go
@@ -23,6 +23,9 @@
 		d.handleStaleOutcome(ctx, o)
 		return
 	}
+	if o.run.answered || o.run.ranLong {
+		d.machine.Progressed(key)
+	}
 	switch o.kind {
 	case finished:
 		d.machine.Finished(now, key)
@@ -46,6 +49,8 @@
 		d.machine.Stopped(now, key, notAcceptedBackoff)
 	case broken:
 		d.machine.Stopped(now, key, refusedBackoff)
+	case crashed:
+		d.machine.Crashed(now, key, refusedBackoff)
 	case quarantined:
 		d.machine.Stopped(now, key, min(max(o.until-now, 0), maxQuarantineBackoff))
 	case superseded:
--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -63,7 +63,9 @@
 	broken outcomeKind = "broken"
 	// paused: the driver stopped the call.
 	paused outcomeKind = "paused"
-	// quarantined: the item is suspected of crashing runners and was not sent.
+	// crashed: the runner crashed soon after the call was sent. The item resumes after its last event.
+	crashed outcomeKind = "crashed"
+	// quarantined: a part of the item's prompt is suspected of crashing runners, and the item was not sent.
 	quarantined outcomeKind = "withheld"
 	// superseded: an earlier call of the item ended with its result, and this one was not sent.
 	superseded outcomeKind = "superseded"
@@ -103,6 +105,8 @@
 	// firstEventAt is when the first event arrived, 0 before. answered is set once the runner didn't crash by it.
 	firstEventAt clock.Millis
 	answered     bool
+	// ranLong is set if the runner crashed long after the item had begun to run.
+	ranLong bool
 
 	mu sync.Mutex
 	// halted reports whether the call must end. release ends the call early, with its partial answer retained.
@@ -161,16 +165,16 @@
 	}
 	call := r.runnerCall(req)
 	r.readParts(call)
-	if until := r.quarantinedUntil(call); until > 0 {
+	if until := r.quarantinedUntil(); until > 0 {
 		return outcome{run: r, kind: quarantined, until: until}
 	}
 	startedAt := r.driver.config.Clock.Now()
 	kind, err := r.call(ctx, call)
 	switch kind {
 	case finished:
-		r.recordSuccess(call)
+		r.recordCompletion()
 	case broken:
-		r.reportCrash(ctx, call, startedAt)
+		kind = r.reportCrash(ctx, call, startedAt)
 	default:
 	}
 	if (ctx.Err() != nil || r.isHalted()) && !kind.isVerdict() {
--- a/control/pkg/dispatch/machine.go
+++ b/control/pkg/dispatch/machine.go
@@ -124,6 +124,8 @@
 	moved bool
 	// notBefore is the earliest time of the next start.
 	notBefore clock.Millis
+	// crashes counts the crashes of the item's runners since it last ran for long.
+	crashes int
 	// waitIndex is the item's index among the waiting items, -1 while it runs.
 	waitIndex int
 	// estimate caches the expected total run time. estimateVersion is one more than the number of recorded
