Let owed items try a quarantined part of their prompts

A sound part of prompts that only the items of a job share is blamed when several of them die in a burst of crashes. All items with it then waited a minute in a calm fleet, and two with one more crash, since a quarantined part is cleared by an answer and nothing with it ran.

Cause: a quarantine treated an accepted item like a caller's request, which can be refused.

Evidence: TestItemsWithPartBlamedForUnrelatedCrashesAreStillOwed failed before: with all runners sound, the items with the part weren't listed within 20 s of the quarantine.

Mended: a request that is owed may be the part's trial 6 s after the newest crash, and after twice as long with each crash that such a trial meets. One at a time in the fleet, as other trials. An answer clears the part for everybody; a part that does crash runners costs three in the first minute and a half.

--- a/common/pkg/digest/part_crashes.go
+++ b/common/pkg/digest/part_crashes.go
@@ -96,10 +96,24 @@
 // CheckParts decides whether a request with these parts may run. trying is set if the request was allowed before as the
 // trial of its suspected parts; trial is set if it is that now.
 func (x *Exchange) CheckParts(parts []prompt.PartID, trying bool) (verdict crashes.Verdict, trial bool) {
+	return x.checkParts(parts, func(now clock.Millis) (crashes.Verdict, []partcrashes.Trial) {
+		return x.crashState.parts.Evaluate(now, parts, trying)
+	})
+}
+
+// CheckOwedParts does the same for an accepted request, which has to be answered at some time.
+func (x *Exchange) CheckOwedParts(parts []prompt.PartID) (verdict crashes.Verdict, trial bool) {
+	return x.checkParts(parts, func(now clock.Millis) (crashes.Verdict, []partcrashes.Trial) {
+		return x.crashState.parts.EvaluateOwed(now, parts)
+	})
+}
+
+// checkParts evaluates a request with these parts and announces the trials that it becomes.
+func (x *Exchange) checkParts(parts []prompt.PartID, evaluate func(now clock.Millis) (crashes.Verdict, []partcrashes.Trial)) (crashes.Verdict, bool) {
 	now := x.config.Clock.Now()
 	x.crashState.mu.Lock()
 	defer x.crashState.mu.Unlock()
-	verdict, trials := x.crashState.parts.Evaluate(now, parts, trying)
+	verdict, trials := evaluate(now)
 	x.broadcastNewQuarantines()
 	if len(trials) == 0 {
 		return verdict, false
--- a/common/pkg/partcrashes/machine.go
+++ b/common/pkg/partcrashes/machine.go
@@ -156,6 +156,24 @@
 // trying is set if the request is the trial of its suspected parts. If it becomes their trial now, Evaluate returns it
 // as allowed, with the trials to announce to the other daemons.
 func (m *Machine) Evaluate(now clock.Millis, parts []prompt.PartID, trying bool) (crashes.Verdict, []Trial) {
+	return m.evaluateParts(now, parts, claim{trying: trying})
+}
+
+// EvaluateOwed does the same for a request that has been accepted and must be answered at some time. It becomes a trial
+// of a quarantined part now and then, as nothing else would clear a harmless one before the end of its quarantine.
+func (m *Machine) EvaluateOwed(now clock.Millis, parts []prompt.PartID) (crashes.Verdict, []Trial) {
+	return m.evaluateParts(now, parts, claim{owed: true})
+}
+
+// claim is what distinguishes a request from others with the same parts.
+type claim struct {
+	// trying is set if the request is the trial of its suspected parts.
+	trying bool
+	// owed is set if the request was accepted and has to be answered.
+	owed bool
+}
+
+func (m *Machine) evaluateParts(now clock.Millis, parts []prompt.PartID, c claim) (crashes.Verdict, []Trial) {
 	worst := crashes.Verdict{}
 	var trials []Trial
 	for _, part := range parts {
@@ -163,7 +181,7 @@
 		if s == nil {
 			continue
 		}
-		verdict, onTrial := m.evaluate(now, s, trying)
+		verdict, onTrial := m.evaluate(now, s, c)
 		if verdict.Status > worst.Status || verdict.Status == worst.Status && verdict.Until > worst.Until {
 			worst = verdict
 		}
@@ -181,9 +199,9 @@
 }
 
 // evaluate decides how to treat requests with one part. onTrial is set if the request must be the part's trial.
-func (m *Machine) evaluate(now clock.Millis, s *suspect, trying bool) (verdict crashes.Verdict, onTrial bool) {
+func (m *Machine) evaluate(now clock.Millis, s *suspect, c claim) (verdict crashes.Verdict, onTrial bool) {
 	if s.quarantine.Until > now {
-		return crashes.Verdict{Status: crashes.Quarantined, Until: s.quarantine.Until}, false
+		return m.evaluateQuarantined(now, s, c)
 	}
 	e := m.evidence(s)
 	crashRate := m.outcomes.crashRate(now, e.ownRuns)
@@ -192,7 +210,7 @@
 		m.newQuarantines = append(m.newQuarantines, s.quarantine)
 		return crashes.Verdict{Status: crashes.Quarantined, Until: s.quarantine.Until}, false
 	}
-	if !m.needsTrial(s, e, crashRate) || trying && s.trialUntil > now {
+	if !m.needsTrial(s, e, crashRate) || c.trying && s.trialUntil > now {
 		return crashes.Verdict{}, false
 	}
 	if from := m.nextTrial(now, s, e); from > now {
@@ -200,3 +218,15 @@
 	}
 	return crashes.Verdict{}, true
 }
+
+// evaluateQuarantined decides how to treat a request with a quarantined part.
+func (m *Machine) evaluateQuarantined(now clock.Millis, s *suspect, c claim) (verdict crashes.Verdict, onTrial bool) {
+	until := s.quarantine.Until
+	if c.owed {
+		until = min(until, m.nextOwedTrial(s))
+	}
+	if until <= now {
+		return crashes.Verdict{}, true
+	}
+	return crashes.Verdict{Status: crashes.Quarantined, Until: until}, false
+}
--- a/common/pkg/partcrashes/machine_test.go
+++ b/common/pkg/partcrashes/machine_test.go
@@ -376,3 +376,47 @@
 		require.Empty(t, m.crashes)
 	})
 }
+
+// Guards against accepted items that are not placed for minutes because a sound part that they share was quarantined in a
+// burst of unrelated crashes, and against a part that crashes runners again and again under items.
+func TestOwedRequestsTryQuarantinedPart(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// crashing is the number of tries that end in a crash.
+		crashing int
+		// tried are the times of the tries, in seconds after the newest crash of the burst.
+		tried []clock.Millis
+	}{
+		{"sound part", 0, []clock.Millis{6}},
+		{"sound part, one more crash by chance", 1, []clock.Millis{6, 18}},
+		{"part that crashes runners", 10, []clock.Millis{6, 18, 42}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			for n := range 4 {
+				f.crash(fmt.Sprint("request ", n), caller, bad)
+			}
+			burst := f.now
+			require.Equal(t, crashes.Quarantined, f.status(caller, bad))
+			var tried []clock.Millis
+			for f.now < burst+initialQuarantine && len(tried) <= c.crashing {
+				f.now += 20
+				if verdict, trials := f.EvaluateOwed(f.now, []prompt.PartID{caller, bad}); verdict.Status == crashes.Allowed {
+					require.Len(t, trials, 1)
+					tried = append(tried, (f.now-burst)/1_000)
+					if len(tried) <= c.crashing {
+						f.crash("try", caller, bad)
+					}
+				} else {
+					require.Greater(t, verdict.Until, f.now)
+				}
+				require.Equal(t, crashes.Quarantined, f.status(caller, bad), "other requests are not sent")
+			}
+			require.Equal(t, c.tried, tried)
+			if len(tried) > c.crashing {
+				f.answer(caller, bad)
+				require.Equal(t, crashes.Allowed, f.status(caller, bad))
+			}
+		})
+	}
+}
--- a/common/pkg/partcrashes/trial.go
+++ b/common/pkg/partcrashes/trial.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/crashes"
 )
 
 // Trials of suspected parts. From minDelayedCrashes on, one request with the part runs at a time in the whole fleet: a
@@ -25,6 +26,9 @@
 	// callers wait for a retry.
 	ownTrialSpread clock.Millis = 80
 	trialSpread    clock.Millis = 400
+	// firstOwedTrial is the time after the newest crash from which on a request that is owed tries a quarantined part. It
+	// doubles with each crash during the quarantine.
+	firstOwedTrial clock.Millis = 6_000
 	// recheckInterval is how often a delayed request is evaluated again.
 	recheckInterval clock.Millis = 30
 )
@@ -57,6 +61,18 @@
 	return from + ownTrialSpread + draw%trialSpread
 }
 
+// nextOwedTrial returns the time from which on a request that is owed may be the trial of a quarantined part.
+func (m *Machine) nextOwedTrial(s *suspect) clock.Millis {
+	newest, wait := s.quarantine.Since, firstOwedTrial
+	for id := range s.sightings {
+		if at := m.crashes[id].at; at > s.quarantine.Since {
+			newest = max(newest, at)
+			wait = min(2*wait, crashes.MaxQuarantine)
+		}
+	}
+	return max(newest+wait, s.trialUntil)
+}
+
 // ApplyTrial applies a trial of this or another daemon.
 func (m *Machine) ApplyTrial(t Trial) {
 	if s := m.suspects[t.Part]; s != nil {
--- a/control/pkg/batchrun/crash_report.go
+++ b/control/pkg/batchrun/crash_report.go
@@ -26,7 +26,7 @@
 	if !x.HasSuspects() {
 		return 0
 	}
-	verdict, _ := x.CheckParts(r.parts, false)
+	verdict, _ := x.CheckOwedParts(r.parts)
 	if verdict.Status == crashes.Allowed {
 		return 0
 	}
--- a/control/pkg/batchrun/part_crash_test.go
+++ b/control/pkg/batchrun/part_crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,6 +78,31 @@
 	require.LessOrEqual(t, calls, maxCalls)
 }
 
+// Guards against items that are never placed again because a sound part of their prompts, which only they share, was
+// blamed for a burst of unrelated crashes.
+func TestItemsWithPartBlamedForUnrelatedCrashesAreStillOwed(t *testing.T) {
+	const items, crashing = 12, 6
+	var crashed atomic.Int32
+	f := start(t, func(_ int, call runner.Call) (*runner.Answer, error) {
+		if call.Header.Get(partHeader) == "rare" && crashed.Add(1) <= crashing {
+			return ok(brokenBody(""))
+		}
+		return ok(io.NopCloser(&slowEvents{interval: 60 * time.Millisecond, last: 6}))
+	})
+	f.driver.config.Client.Parts = partsOf
+	f.refuses = true
+	f.exchange.SetRunnerCount(12)
+	f.submitWithParts(items, "rare", "sound")
+	f.run()
+	require.Eventually(t, func() bool { return f.exchange.PartQuarantineCount() == 1 }, 10*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		done := 0
+		f.machine.View(func(s *systemstate.State) { done = len(s.Job("j").Listed) })
+		return done == items
+	}, 20*time.Second, 20*time.Millisecond)
+	require.Zero(t, f.exchange.PartQuarantineCount())
+}
+
 // slowEvents is a stream that ends after some events.
 type slowEvents struct {
 	interval   time.Duration
