--- a/common/pkg/sse/reader.go
+++ b/common/pkg/sse/reader.go
@@ -12,9 +12,9 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes limits the size of one event. Runners send a few hundred bytes per event, so a larger
-// one means that the body isn't an event stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits the size of one event, since each stream holds one in memory. Runners send a few hundred bytes
+// per event, so a larger one means that the body isn't an event stream.
+const maxEventBytes = 64 << 10
 
 var (
 	// ErrTruncated means that the stream ended within an event.
