Limit the output of an item's call on its way to the leader

What callers saw: nothing yet; found on the path of bytes without end. A gateway that carries an item's call read the runner's answer as fast as it came and buffered it until its session took it; the leader buffered what its reader hadn't read. With a fast runner without an end and a slow leader, neither had a limit.

Mended: the gateway waits for its session while its buffer of 64 KiB is full, so that the runner waits, too. At the leader a call with more than 2 MiB unread fails, which can't look like its end, and the gateway ends it.

--- a/control/pkg/callproxy/client_test.go
+++ b/control/pkg/callproxy/client_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -440,3 +441,21 @@
 		return err == nil && answer.Status == http.StatusOK
 	}, 5*time.Second, 10*time.Millisecond)
 }
+
+// Guards against a leader that runs out of memory: a gateway passes on more than the leader reads. The call must not look
+// complete, and the gateway must end it.
+func TestCallWithUnreadOutputFails(t *testing.T) {
+	const blocks = 64
+	list := []*toucanhingev1.CarryEvent{accepted, headEvent()}
+	for range blocks {
+		list = append(list, dataEvent(strings.Repeat("x", maxUnreadBytes/16)))
+	}
+	g := startGateway(t, play(append(list, endEvent("", false))...))
+	answer, err := newClient(Gateway{Address: g.address}).RunnerClient().Open(context.Background(), newCall(""))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return g.releaseCount() == 1 }, 5*time.Second, time.Millisecond)
+	read, err := io.Copy(io.Discard, answer.Body)
+	require.ErrorIs(t, err, errUnread)
+	require.LessOrEqual(t, read, int64(maxUnreadBytes))
+	require.NoError(t, answer.Body.Close())
+}
--- a/control/pkg/callproxy/proxied_call.go
+++ b/control/pkg/callproxy/proxied_call.go
@@ -12,7 +12,11 @@
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
+// maxUnreadBytes limits the received output of a call that isn't read yet. It fits an item's whole output.
+const maxUnreadBytes = 2 << 20
+
 var (
+	errUnread        = errors.New("the gateway sends faster than its output is read")
 	errSessionBroken = errors.New("the session with the gateway broke")
 	errCallFailed    = errors.New("the gateway's call to the runner failed")
 )
@@ -39,9 +43,28 @@
 	closeOnce sync.Once
 }
 
-// handleEvent records an event that the gateway sent for the call.
+// handleEvent records an event that the gateway sent for the call. A call whose output isn't read in time fails, and the
+// gateway ends it.
 func (c *proxiedCall) handleEvent(event *toucanhingev1.CarryEvent) {
 	c.mu.Lock()
+	failed := c.err != nil
+	overflow := !failed && len(c.unread)+len(event.GetData()) > maxUnreadBytes
+	switch {
+	case failed:
+	case overflow:
+		c.err = errUnread
+	default:
+		c.recordEvent(event)
+	}
+	c.mu.Unlock()
+	if overflow {
+		c.session.releaseCall(c.number)
+	}
+	c.notify()
+}
+
+// recordEvent records an event of a call that hasn't failed. The caller holds the lock.
+func (c *proxiedCall) recordEvent(event *toucanhingev1.CarryEvent) {
 	c.accepted = true
 	if event.GetHead() != nil {
 		c.answerHead = event.GetHead()
@@ -50,8 +73,6 @@
 	if event.GetEnd() != nil {
 		c.end = event.GetEnd()
 	}
-	c.mu.Unlock()
-	c.notify()
 }
 
 // fail ends the call because its session broke.
--- a/gateway/pkg/callproxy/call.go
+++ b/gateway/pkg/callproxy/call.go
@@ -36,6 +36,8 @@
 	cancel    context.CancelCauseFunc
 	// wake requests the session to send urgent events.
 	wake func()
+	// collected signals that the buffered output was taken. It has capacity one.
+	collected chan struct{}
 	// ended is true if this gateway has ended the call. It is guarded by the session's lock.
 	ended bool
 
@@ -95,7 +97,9 @@
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			onData()
-			c.add(buffer[:n])
+			if err := c.add(ctx, buffer[:n]); err != nil {
+				return err
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -106,16 +110,26 @@
 	}
 }
 
-// add buffers bytes of the answer.
-func (c *call) add(data []byte) {
+// add buffers bytes of the answer. While the buffer is full, it waits for the session to take them, so that the runner
+// can't send faster than the daemon that asked reads.
+func (c *call) add(ctx context.Context, data []byte) error {
 	c.mu.Lock()
 	c.text = append(c.text, data...)
 	full := len(c.text) >= maxBufferedBytes
 	c.urgent = c.urgent || full
 	c.mu.Unlock()
-	if full {
+	for full {
 		c.wake()
+		select {
+		case <-c.collected:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+		c.mu.Lock()
+		full = len(c.text) >= maxBufferedBytes
+		c.mu.Unlock()
 	}
+	return nil
 }
 
 // collect returns the buffered part of the call as an event, or nil if there is nothing to send. Buffered output stays
@@ -129,5 +143,9 @@
 	}
 	event := &toucanhingev1.CarryEvent{Call: c.number, Head: c.head, Data: c.text, End: c.end}
 	c.accepted, c.urgent, c.head, c.text = true, false, nil, nil
+	select {
+	case c.collected <- struct{}{}:
+	default:
+	}
 	return event
 }
--- a/gateway/pkg/callproxy/server.go
+++ b/gateway/pkg/callproxy/server.go
@@ -174,7 +174,9 @@
 // still sends its buffered events.
 func (s *Server) startCall(ctx context.Context, session *session, source string, m *toucanhingev1.CarryRequest, tasks *sync.WaitGroup) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	c := &call{source: source, number: m.GetCall(), startedAt: s.config.Clock.Now(), cancel: cancel, wake: session.wake}
+	c := &call{
+		source: source, number: m.GetCall(), startedAt: s.config.Clock.Now(), cancel: cancel, wake: session.wake, collected: make(chan struct{}, 1),
+	}
 	session.add(c)
 	if s.isDraining() {
 		cancel(errDraining)
