Discard the text of an item that a runner writes without an end

What callers saw: nothing yet; found on the path of bytes without end. A faulty runner that sends sound events without an end filled the leader's memory and its log: items have no time limit, and their text had none. Had the stream broken off at last, another runner would have continued behind it, with an empty rest, and the item would have been completed with text that no sound runner wrote.

Mended: a text has 1 MiB and 65,536 events at most. Beyond it the whole text is discarded, since nobody knows where its sound part ends, and the item restarts. The attempt doesn't count against the item; the runner gets no items for a while if it does so again.

--- a/control/pkg/batchrun/outcome.go
+++ b/control/pkg/batchrun/outcome.go
@@ -7,6 +7,7 @@
 
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/control/pkg/dispatch"
 )
 
 // handleOutcome applies the outcome of a call.
@@ -35,10 +36,11 @@
 		d.stop(key)
 		d.failItem(ctx, key, "impossible")
 	case failed:
-		if d.machine.Failed(now, key, refusedBackoff) {
-			level.Warn(d.config.Logger).Log(logs.KeyEvent, "runner-failing", "runner", id)
-		}
+		d.recordFailure(now, key, id)
 		d.countFailure(ctx, key)
+	case endless:
+		// It isn't the item that failed, so the attempt doesn't count.
+		d.recordFailure(now, key, id)
 	case refused:
 		d.machine.Block(id, now+refusedBackoff)
 		d.machine.Stopped(now, key, 0)
@@ -61,6 +63,13 @@
 	d.machine.SetVersion(key, o.run.progress.writtenBy())
 }
 
+// recordFailure records that a runner failed an item, whose call has ended.
+func (d *Driver) recordFailure(now clock.Millis, key dispatch.Key, id string) {
+	if d.machine.Failed(now, key, refusedBackoff) {
+		level.Warn(d.config.Logger).Log(logs.KeyEvent, "runner-failing", "runner", id)
+	}
+}
+
 // handleStaleOutcome applies the outcome of a call whose item was preempted and has since started
 // elsewhere. Only the runner's verdict on the item itself still counts.
 func (d *Driver) handleStaleOutcome(ctx context.Context, o outcome) {
--- a/control/pkg/batchrun/progress.go
+++ b/control/pkg/batchrun/progress.go
@@ -8,11 +8,19 @@
 	"toucanhinge.example/common/pkg/sse"
 )
 
+// Limits of an item's text. Callers read results in messages of 1 MB at most, and an event holds a token or more.
+const (
+	maxTextBytes  = 1 << 20
+	maxTextEvents = 1 << 16
+)
+
 // progress is the output of an item's calls so far. The current call appends to it while the driver reads it.
 type progress struct {
 	mu   sync.Mutex
 	last uint64
 	text []byte
+	// events counts the events that calls of this driver have added to the text.
+	events int
 	// version is the software version of the runners that wrote the text.
 	version string
 	// loggedLast is the last logged event, and loggedBytes is the length of the logged text.
@@ -37,12 +45,15 @@
 		return errEventGap
 	case p.last > 0 && version != p.version:
 		return errOtherVersion
+	case p.events >= maxTextEvents || len(p.text)+len(event.Data) > maxTextBytes:
+		return errTextTooLong
 	}
 	if p.last > 0 {
 		p.text = append(p.text, '\n')
 	}
 	p.text = append(p.text, event.Data...)
 	p.last, p.version = event.ID, version
+	p.events++
 	return nil
 }
 
@@ -55,11 +66,23 @@
 		return 0
 	}
 	discarded = p.last
-	p.last, p.text, p.version = 0, nil, ""
-	p.loggedLast, p.loggedBytes, p.restarted = 0, 0, true
+	p.reset()
 	return discarded
 }
 
+// discard discards the text.
+func (p *progress) discard() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reset()
+}
+
+// reset discards the text. The caller holds the lock.
+func (p *progress) reset() {
+	p.last, p.text, p.events, p.version = 0, nil, 0, ""
+	p.loggedLast, p.loggedBytes, p.restarted = 0, 0, true
+}
+
 func (p *progress) lastEvent() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -39,6 +39,8 @@
 	errEventGap   = errors.New("the stream skipped an event")
 	errStatus     = errors.New("unexpected status")
 	errWrongEvent = errors.New("the stream doesn't continue after the requested event")
+	// errTextTooLong means that a runner writes a text without an end.
+	errTextTooLong = errors.New("the text is longer than that of any item")
 	// errOtherVersion means that two software versions would have written one text.
 	errOtherVersion = errors.New("the stream is of another software version than the text so far")
 )
@@ -63,6 +65,8 @@
 	broken outcomeKind = "broken"
 	// paused: the driver stopped the call.
 	paused outcomeKind = "paused"
+	// endless: the runner wrote more than any item's text. The text is discarded, and the item restarts.
+	endless outcomeKind = "endless"
 	// crashed: the runner crashed soon after the call was sent. The item resumes after its last event.
 	crashed outcomeKind = "crashed"
 	// quarantined: a part of the item's prompt is suspected of crashing runners, and the item was not sent.
@@ -267,7 +271,13 @@
 		}
 		onEvent()
 		r.recordAnswer()
-		if err := r.progress.add(event, r.target.GetVersion()); err != nil {
+		err = r.progress.add(event, r.target.GetVersion())
+		if errors.Is(err, errTextTooLong) {
+			// Where the sound part of the text ends isn't known.
+			r.progress.discard()
+			return endless, err
+		}
+		if err != nil {
 			return broken, err
 		}
 	}
