Let no other answer follow the part of one that a caller has got

Cause: the gateway passes on the header and the first 64 KiB of an answer that is no stream before the rest has come. Whether a broken call may be repeated depended on the route and on the number of runs, and not on what the caller had got already. The same held for streams: on a resumable route another call began from the first event after events without numbers, since there was no event to continue after, and after an event without a number it was repeated.

Evidence: TestPartOfAnswerIsNotFollowedByAnotherAnswer failed before in six of nine cases: plain answers, a long rejection, a plain answer on a route of streams, and both kinds of events without numbers.

Mended: a call may follow only if nothing was sent to the caller yet, or if what was sent ends with a numbered event. Otherwise the connection is broken, as for other answers that can't go on, and the timer that moves a stream that pauses to another runner stops. Answers that break off within the first 64 KiB are repeated as before. The older path decides by what it has delivered and isn't affected.

--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -73,8 +73,10 @@
 	tried    []string
 	versions []string
 	runs     int
-	// headerSent is set once the answer's header was sent to the caller.
+	// headerSent is set once the answer's header was sent to the caller, and atEvent while what was sent ends with a
+	// numbered event, after which another call can continue.
 	headerSent  bool
+	atEvent     bool
 	resume      bool
 	lastEventID uint64
 	events      int
--- a/gateway/pkg/forward/retry.go
+++ b/gateway/pkg/forward/retry.go
@@ -86,5 +86,8 @@
 
 // mayRetry reports whether the request may run at one more runner.
 func (e *exchange) mayRetry() bool {
-	return e.route.Repeatable() && e.runs < int(max(e.route.MaxAttempts, 1))
+	return e.route.Repeatable() && e.runs < int(max(e.route.MaxAttempts, 1)) && e.mayContinue()
 }
+
+// mayContinue reports whether the answer of another call may follow what the caller has received.
+func (e *exchange) mayContinue() bool { return !e.headerSent || e.atEvent }
--- a/gateway/pkg/forward/stream.go
+++ b/gateway/pkg/forward/stream.go
@@ -60,6 +60,7 @@
 			}
 			e.lastEventID, e.resume = event.ID, true
 		}
+		e.atEvent = event.Numbered || e.atEvent && len(event.Data) == 0
 		if e.callFirstEventAt == 0 {
 			e.callFirstEventAt = e.now()
 			if e.origin.Service != "" {
@@ -73,6 +74,9 @@
 			e.firstEventAt = e.now()
 		}
 		e.sendHeader(answer)
+		if !e.mayContinue() {
+			timer.stop()
+		}
 		e.events++
 		e.callEvents++
 		if _, err := e.w.Write(event.Raw); err != nil {
