Count crashes in one moment together against a part of prompts

Cause: three quarters of the runners of a large fleet may end in one moment. Each crash counted as evidence of its own against every part that the runs had, though one cause ended them all; and until an answer that began after the moment is known, 0.3 s later, it looks as if nothing with the part were answered any more, however common it is. The chance that a harmless part meets so many crashes was taken from the mean of half a minute, too, which a wave exceeds far.

Mended: crashes within 0.2 s are one moment, and it takes two, three if nothing else is answered, five if the part was answered shortly before. In the last two cases only crashes count that are 0.37 s old. The chance also regards the crashes without the part in the same seconds.

Tests: the fixtures reported crashes 50 ms apart and sooner, so they now report them one after the other as a crashing part ends runners; the numbers of crashes are as they were.

--- a/common/pkg/digest/part_crashes_test.go
+++ b/common/pkg/digest/part_crashes_test.go
@@ -44,9 +44,15 @@
 	})
 }
 
-// reportPartCrashes reports crashes of different requests with one part, each on another daemon.
+// partCrashGap is the time between two of the reported crashes: crashes in one moment speak against no part.
+const partCrashGap = 80 * time.Millisecond
+
+// reportPartCrashes reports crashes of different requests with one part, each on another daemon, one after the other.
 func (f *loopbackFleet) reportPartCrashes(count int, parts ...prompt.PartID) {
 	for n := range count {
+		if n > 0 {
+			time.Sleep(partCrashGap)
+		}
 		request := crashes.FingerprintOf("POST", "team", fmt.Sprint("/bad/", n), nil)
 		f.daemons[n%len(f.daemons)].ReportPartCrash(&toucanhingev1.Runner{Id: fmt.Sprint("r", n)}, request, parts, true)
 	}
--- a/common/pkg/partcrashes/evidence.go
+++ b/common/pkg/partcrashes/evidence.go
@@ -1,6 +1,8 @@
 package partcrashes
 
 import (
+	"slices"
+
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/crashes"
 	"toucanhinge.example/common/pkg/prompt"
@@ -33,10 +35,22 @@
 	sufficientRecent = 8
 	// recentAnswer is long enough for a part that a few callers use.
 	recentAnswer clock.Millis = 10_000
+	// momentSpan is the span of one moment: crashes for other reasons often end many runners in one, under all requests
+	// that they run. A part that crashes runners goes on to do so, in minMoments, minMomentsAlone or minMomentsRecent.
+	momentSpan       clock.Millis = 200
+	minMoments                    = 2
+	minMomentsAlone               = 3
+	minMomentsRecent              = 5
 	// propagationDelay is the time after a crash until all daemons have received the reports of it and the answers
 	// that contradict them. Datagrams take a few milliseconds, small VMs are tens of milliseconds late, and a lost
 	// datagram is sent again after 40 ms.
 	propagationDelay clock.Millis = 100
+	// retryDelay is the time from a crash until the first event of a request that is sent after it.
+	retryDelay clock.Millis = 150
+	// settleDelay is the time after a crash until the answers that began after it are known to all daemons. Many runners
+	// may crash in one moment, and until then it looks as if nothing with a part were answered any more, however common
+	// the part is.
+	settleDelay = retryDelay + crashes.ConfirmedAnswer + propagationDelay
 )
 
 // evidence counts the crashes of a suspect since the newest answer to a request with it. Crashes that a quarantined
@@ -44,8 +58,9 @@
 type evidence struct {
 	// all counts the crashes, unanswered those with an unanswered run.
 	all, unanswered int
-	// requests counts the different requests of the runs.
+	// requests counts the different requests of the runs, moments the different moments of the crashes.
 	requests int
+	moments  int
 	// first and newest are the times of the first and the newest crash.
 	first, newest clock.Millis
 	// recent is set if a request with the part was answered shortly before the first crash.
@@ -61,17 +76,28 @@
 // request ends in a crash.
 func (e evidence) sufficient(crashRate float64) bool {
 	switch {
-	case e.requests < minRequests:
+	case e.requests < minRequests || e.moments < minMoments:
 		return false
 	case e.recent:
-		return e.requests >= sufficientRequests && e.all >= sufficientRecent && chance(crashRate, e.all) <= maxChance*maxChance
+		return e.moments >= minMomentsRecent && e.requests >= sufficientRequests && e.all >= sufficientRecent && chance(crashRate, e.all) <= maxChance*maxChance
 	case !e.contrast:
-		return e.all >= sufficientAlone
+		return e.moments >= minMomentsAlone && e.all >= sufficientAlone
 	default:
 		return e.sufficientUnanswered(crashRate) || e.sufficientEarly(crashRate)
 	}
 }
 
+// isBlamed reports whether the evidence against a suspect justifies a quarantine. The crashes must be known to all, and
+// so must the answers that began after them if the part was answered shortly before or nothing else is answered.
+func (m *Machine) isBlamed(now clock.Millis, s *suspect, e evidence, crashRate float64) bool {
+	until := now
+	if e.recent || !e.contrast {
+		until = now - settleDelay
+		e = m.evidence(s, until)
+	}
+	return e.sufficient(crashRate) && e.newest+propagationDelay <= now && m.leads(s, e, until)
+}
+
 // sufficientUnanswered reports whether the crashes under unanswered runs are sufficient.
 func (e evidence) sufficientUnanswered(crashRate float64) bool {
 	if e.unanswered < minCrashes || e.requests < sufficientRequests && e.unanswered < sufficientCrashes {
@@ -86,15 +112,18 @@
 	return e.requests >= sufficientRequests && e.all >= minEarly && chance(crashRate, e.all) <= maxChance
 }
 
-func (m *Machine) evidence(s *suspect) evidence {
+// evidence counts the crashes up to a time.
+func (m *Machine) evidence(s *suspect, until clock.Millis) evidence {
 	e := evidence{}
 	requests := map[crashes.Fingerprint]bool{}
+	var times []clock.Millis
 	for id, found := range s.sightings {
 		c := m.crashes[id]
-		if c.cause != "" {
+		if c.cause != "" || c.at > until {
 			continue
 		}
 		e.all++
+		times = append(times, c.at)
 		if found.unanswered {
 			e.unanswered++
 		}
@@ -111,17 +140,30 @@
 			requests[request] = true
 		}
 	}
-	e.requests = len(requests)
+	e.requests, e.moments = len(requests), countMoments(times)
 	e.recent = e.all > 0 && s.answeredAt > 0 && e.first-s.answeredAt < recentAnswer
 	e.contrast = m.newestAnswer > e.first
 	return e
 }
 
-// leads reports whether no other suspect of the same crashes has as many of them. A part that another one always
+// countMoments counts the moments of some times.
+func countMoments(times []clock.Millis) (count int) {
+	slices.Sort(times)
+	end := clock.Millis(0)
+	for _, at := range times {
+		if at >= end {
+			count++
+			end = at + momentSpan
+		}
+	}
+	return count
+}
+
+// leads reports whether no other suspect of the same crashes has as many of them up to a time. A part that another one always
 // accompanies needs more crashes. A part that was answered shortly before comes after those that weren't.
-func (m *Machine) leads(s *suspect, e evidence) bool {
+func (m *Machine) leads(s *suspect, e evidence, until clock.Millis) bool {
 	for other := range m.rivals(s) {
-		o := m.evidence(m.suspects[other])
+		o := m.evidence(m.suspects[other], until)
 		if o.recent || o.requests < minRequests {
 			continue
 		}
--- a/common/pkg/partcrashes/machine.go
+++ b/common/pkg/partcrashes/machine.go
@@ -58,6 +58,8 @@
 type crash struct {
 	at       clock.Millis
 	suspects map[prompt.PartID]bool
+	// ownUnanswered counts the unanswered runs of this daemon.
+	ownUnanswered int
 	// cause is the quarantined part that explains the crash, empty if there is none.
 	cause prompt.PartID
 }
@@ -80,10 +82,11 @@
 	if now-r.At > retention {
 		return
 	}
+	c := m.crash(now, r)
 	if r.Own && r.Unanswered {
 		m.outcomes.record(r.At, true)
+		c.ownUnanswered++
 	}
-	c := m.crash(now, r)
 	for _, part := range r.Parts {
 		if m.LastAnswer(part) < r.At {
 			m.addSighting(now, c, part, r)
@@ -203,14 +206,14 @@
 	if s.quarantine.Until > now {
 		return m.evaluateQuarantined(now, s, c)
 	}
-	e := m.evidence(s)
-	crashRate := m.outcomes.crashRate(now, e.ownRuns)
-	if e.sufficient(crashRate) && e.newest+propagationDelay <= now && m.leads(s, e) {
+	e := m.evidence(s, now)
+	crashRate := max(m.outcomes.crashRate(now, e.ownRuns), m.rateBeside(s, e))
+	if m.isBlamed(now, s, e, crashRate) {
 		m.setQuarantine(s, nextQuarantine(now, s, e.contrast))
 		m.newQuarantines = append(m.newQuarantines, s.quarantine)
 		return crashes.Verdict{Status: crashes.Quarantined, Until: s.quarantine.Until}, false
 	}
-	if !m.needsTrial(s, e, crashRate) || c.trying && s.trialUntil > now {
+	if !m.needsTrial(now, s, e, crashRate) || c.trying && s.trialUntil > now {
 		return crashes.Verdict{}, false
 	}
 	if from := m.nextTrial(now, s, e); from > now {
--- a/common/pkg/partcrashes/outcomes.go
+++ b/common/pkg/partcrashes/outcomes.go
@@ -47,5 +47,31 @@
 	return float64(crashed+1) / float64(answered+crashed+2)
 }
 
+// answered counts the runs that were answered in a period.
+func (o *outcomes) answered(from, to clock.Millis) (count int) {
+	for _, c := range o.counts {
+		if c.bucket >= from/bucketSpan && c.bucket <= to/bucketSpan {
+			count += c.answered
+		}
+	}
+	return count
+}
+
+// rateBeside estimates the same probability from the time of the crashes of a suspect alone: the runs that ended in
+// crashes without the suspect, of all that ended meanwhile. In waves of unrelated crashes it is much higher than over a
+// longer time.
+func (m *Machine) rateBeside(s *suspect, e evidence) float64 {
+	from, to, crashed := e.first-bucketSpan, e.newest+bucketSpan, 0
+	for _, c := range m.crashes {
+		if !c.suspects[s.part] && c.at >= from && c.at <= to {
+			crashed += c.ownUnanswered
+		}
+	}
+	if crashed == 0 {
+		return 0
+	}
+	return float64(crashed) / float64(crashed+m.outcomes.answered(from, to))
+}
+
 // chance returns the probability that a number of runs with a harmless part all end in crashes.
 func chance(rate float64, runs int) float64 { return math.Pow(rate, float64(runs)) }
--- a/common/pkg/partcrashes/trial.go
+++ b/common/pkg/partcrashes/trial.go
@@ -33,8 +33,8 @@
 	recheckInterval clock.Millis = 30
 )
 
-// needsTrial reports whether requests with the part run one at a time.
-func (m *Machine) needsTrial(s *suspect, e evidence, crashRate float64) bool {
+// needsTrial reports whether requests with the part run one at a time. e is the evidence against it.
+func (m *Machine) needsTrial(now clock.Millis, s *suspect, e evidence, crashRate float64) bool {
 	switch {
 	case s.quarantine.Count > 0:
 		// The quarantine has ended. Whether the part still crashes runners is to be found out by one request.
@@ -42,7 +42,9 @@
 	case e.requests < minRequests:
 		return false
 	case e.recent:
-		return e.all >= minDelayedRecent && m.leads(s, e)
+		settled := now - settleDelay
+		e = m.evidence(s, settled)
+		return e.requests >= minRequests && e.all >= minDelayedRecent && m.leads(s, e, settled)
 	default:
 		return e.unanswered >= minDelayedCrashes && chance(crashRate, e.unanswered) <= maxDelayedChance
 	}
