Keep no changes for the items' driver on followers

Cause: the driver of items queues each change of the state, and only a leader takes them off.

Mended: changes are queued only while the driver runs; it reads the whole state when it starts, after it began to queue. TestFollowerKeepsNoChanges failed before.

--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -75,7 +75,9 @@
 	config Config
 	wake   chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// running is set while Run runs; nobody else reads the changes.
+	running bool
 	changes []systemstate.Change
 	ended   []outcome
 
@@ -101,12 +103,24 @@
 	return &Driver{config: config, wake: make(chan struct{}, 1), commits: &groupCommit{propose: config.Propose}}
 }
 
-// Notify queues a change of the state. It never blocks.
+// Notify queues a change of the state while the driver runs: it reads the whole state when it starts. It never blocks.
 func (d *Driver) Notify(change systemstate.Change) {
 	d.mu.Lock()
-	d.changes = append(d.changes, change)
+	running := d.running
+	if running {
+		d.changes = append(d.changes, change)
+	}
 	d.mu.Unlock()
-	d.Wake()
+	if running {
+		d.Wake()
+	}
+}
+
+// setRunning starts or ends the queueing of changes.
+func (d *Driver) setRunning(running bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running, d.changes = running, nil
 }
 
 // Wake requests a step because the load has changed.
@@ -128,7 +142,8 @@
 	d.overloaded = false
 	d.paces = &paceCache{read: d.config.Pace}
 	d.tokens.reset(d.config.Clock.Now())
-	d.drainChanges()
+	d.setRunning(true)
+	defer d.setRunning(false)
 	d.drainEnded()
 	d.reload()
 	defer d.active.Wait()
--- a/control/pkg/batchrun/driver_test.go
+++ b/control/pkg/batchrun/driver_test.go
@@ -456,3 +456,16 @@
 		})
 	}
 }
+
+// Guards against followers whose memory grows with each job and result, since only a leader reads the changes.
+func TestFollowerKeepsNoChanges(t *testing.T) {
+	f := start(t, func(int, runner.Call) (*runner.Answer, error) { return ok(completeBody(events(1, 4))) })
+	f.submit(1)
+	require.Empty(t, f.driver.drainChanges())
+	stop := f.run()
+	completed, _ := f.result()
+	require.True(t, completed, "an item that was accepted before runs")
+	stop()
+	f.driver.Notify(systemstate.Change{Kind: systemstate.ItemListed})
+	require.Empty(t, f.driver.drainChanges())
+}
