Sync the removal of each old log file before the next

Names of files that were removed without a sync of their folder may each be back or not: an older one back and a newer one gone leaves a gap in the log, which Open takes for damage.

Mended: removals are synced one by one, oldest first, so that what a power loss can undo is the newest of them.

--- a/control/pkg/disk/log.go
+++ b/control/pkg/disk/log.go
@@ -178,12 +178,17 @@
 	return l.removeFiles(drop)
 }
 
+// removeFiles removes the oldest files. Each removal is synced before the next: a power loss that undid one, and kept the
+// removal of a newer file, would leave a gap in the log.
 func (l *Log) removeFiles(count int) error {
 	for ; count > 0; count-- {
 		err := os.Remove(l.files[0].path(l.config.Folder))
 		if err != nil && !errors.Is(err, os.ErrNotExist) {
 			return fmt.Errorf("remove old log file: %w", err)
 		}
+		if err := l.config.syncFolder(l.config.Folder); err != nil {
+			return fmt.Errorf("remove old log file: %w", err)
+		}
 		l.files = l.files[1:]
 	}
 	return nil
--- a/control/pkg/disk/log_test.go
+++ b/control/pkg/disk/log_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -84,6 +85,61 @@
 	require.Equal(t, entry(40, 3), content.Entries[len(content.Entries)-1])
 }
 
+// Guards against a VM that can't start after a power loss that undid the removal of an old file but not that of a newer
+// one: no two removals may be undone independently.
+func TestRemovedFilesAreSyncedOneByOne(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		remove func(*Log) error
+	}{
+		{"after a checkpoint", func(l *Log) error { return l.DropBefore(20) }},
+		{"after a reset", func(l *Log) error {
+			reset := persist(4)
+			reset.Reset = &consensus.Base{Index: 50, Term: 3}
+			return l.Append(reset)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			folder := t.TempDir()
+			config := Config{Folder: folder, FileBytes: 200}
+			present := func() map[string]bool {
+				entries, err := os.ReadDir(folder)
+				require.NoError(t, err)
+				names := map[string]bool{}
+				for _, e := range entries {
+					names[e.Name()] = true
+				}
+				return names
+			}
+			durable, removals := map[string]bool{}, 0
+			countRemoved := func() {
+				now, removed := present(), 0
+				for name := range durable {
+					if strings.HasPrefix(name, "log-") && !now[name] {
+						removed++
+					}
+				}
+				require.LessOrEqual(t, removed, 1)
+				durable = now
+				removals += removed
+			}
+			config.Sync = func(f *os.File) error {
+				if f.Name() == folder {
+					countRemoved()
+				}
+				return f.Sync()
+			}
+			l, _ := mustOpen(t, config)
+			for i := uint64(1); i <= 40; i++ {
+				require.NoError(t, l.Append(persist(3, entry(i, 3))))
+			}
+			require.NoError(t, c.remove(l))
+			countRemoved()
+			require.Greater(t, removals, 2)
+		})
+	}
+}
+
 func TestResetDiscardsEarlierEntries(t *testing.T) {
 	folder := t.TempDir()
 	l, _ := mustOpen(t, Config{Folder: folder})
