--- a/control/pkg/consensus/formation_test.go
+++ b/control/pkg/consensus/formation_test.go
@@ -156,6 +156,29 @@
 	}
 }
 
+// Guards against a system that never accepts a configuration because one founding member was lost for good before all had
+// met: the others are a majority.
+func TestGroupFormsWithoutMemberThatNeverComes(t *testing.T) {
+	g := newFormingGroup(3)
+	g.fail = t.Fatalf
+	never := func() bool { return false }
+	lost := g.nodes[2].name
+	for range 1_000 {
+		for _, f := range g.nodes[:2] {
+			g.execute(f, f.formation.Tick(), never)
+		}
+		for len(g.network) > 0 {
+			m := g.network[0]
+			g.network = g.network[1:]
+			if m.To != lost {
+				g.deliver(m, never)
+			}
+		}
+	}
+	require.NotEmpty(t, g.nodes[0].log)
+	require.NotEmpty(t, g.nodes[1].log)
+}
+
 // A replica that lost its disk returns to a formed group under its old name. Because of
 // its new identity it must not join the group.
 func TestFormationExcludesReplicaWithLostDisk(t *testing.T) {
