--- a/common/pkg/partcrashes/evidence.go
+++ b/common/pkg/partcrashes/evidence.go
@@ -35,12 +35,14 @@
 	sufficientRecent = 8
 	// recentAnswer is long enough for a part that a few callers use.
 	recentAnswer clock.Millis = 10_000
-	// momentSpan is the span of one moment: crashes for other reasons often end many runners in one, under all requests
-	// that they run. A part that crashes runners goes on to do so, in minMoments, minMomentsAlone or minMomentsRecent.
-	momentSpan       clock.Millis = 200
-	minMoments                    = 2
-	minMomentsAlone               = 3
-	minMomentsRecent              = 5
+	// minMoments are the moments in which a part must have crashed runners, minMomentsAlone if no other request was
+	// answered since, minMomentsRecent if the part was answered shortly before. Crashes for other reasons often end many
+	// runners in one moment, under all requests that they run.
+	minMoments       = 2
+	minMomentsAlone  = 3
+	minMomentsRecent = 5
+	// momentSpan is the span of one moment.
+	momentSpan clock.Millis = 200
 	// propagationDelay is the time after a crash until all daemons have received the reports of it and the answers
 	// that contradict them. Datagrams take a few milliseconds, small VMs are tens of milliseconds late, and a lost
 	// datagram is sent again after 40 ms.
