--- a/control/pkg/dispatch/crash_rest.go
+++ b/control/pkg/dispatch/crash_rest.go
@@ -6,8 +6,8 @@
 // runners crash in a row. It rests all the same, so that it doesn't meet the next of these crashes, and briefly, since
 // it is owed.
 const (
-	// restedCrash is the number of crashes in a row from which on an item rests longer than after a broken call.
-	restedCrash = 2
+	// minRestedCrashes is the number of crashes in a row from which on an item rests longer than after a broken call.
+	minRestedCrashes = 2
 	// firstCrashRest is the first of these rests. It doubles with each further crash, up to maxCrashRest.
 	firstCrashRest clock.Millis = 500
 	maxCrashRest   clock.Millis = 3_000
@@ -33,11 +33,11 @@
 
 // crashRest returns the rest after a number of crashes in a row.
 func crashRest(crashes int) clock.Millis {
-	if crashes < restedCrash {
+	if crashes < minRestedCrashes {
 		return 0
 	}
 	rest := firstCrashRest
-	for n := restedCrash; n < crashes && rest < maxCrashRest; n++ {
+	for n := minRestedCrashes; n < crashes && rest < maxCrashRest; n++ {
 		rest *= 2
 	}
 	return min(rest, maxCrashRest)
--- a/gateway/pkg/forward/body.go
+++ b/gateway/pkg/forward/body.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"toucanhinge.example/common/pkg/runner"
+	"toucanhinge.example/common/pkg/web"
 )
 
 // maxBufferedBody is the largest body of an answer that is read completely before the header is
@@ -22,7 +23,7 @@
 	e.headerSent = true
 	header := e.w.Header()
 	for name, values := range answer.Header {
-		if !hopByHop[name] {
+		if !web.HopByHop[name] {
 			header[name] = values
 		}
 	}
@@ -40,12 +41,6 @@
 	e.w.WriteHeader(answer.Status)
 }
 
-// hopByHop lists the header fields that apply to a single connection.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-}
-
 // copyBody forwards an answer that isn't a stream.
 func (e *exchange) copyBody(answer *runner.Answer) error {
 	head, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBody))
