Publish the sidecar's state before its actions are delivered

Whoever received an action could read the state before it: here an online request had its slot, and the item that gave it up wasn't counted as suspended yet. The probe and the metrics read the same state.

Mended: the state is stored first.

--- a/sidecar/pkg/dispatch/dispatcher.go
+++ b/sidecar/pkg/dispatch/dispatcher.go
@@ -150,14 +150,16 @@
 		d.deliverFuncs[e.id] = e.deliver
 	}
 	now := d.config.Clock.Now()
-	for _, a := range d.config.Machine.Step(now, e.event) {
+	actions := d.config.Machine.Step(now, e.event)
+	// Whoever receives an action sees its effect.
+	s := d.config.Machine.Snapshot(now)
+	d.snapshot.Store(&s)
+	for _, a := range actions {
 		d.deliverAction(a)
 	}
 	if f, finished := e.event.(admit.Finished); finished {
 		delete(d.deliverFuncs, f.ID)
 	}
-	s := d.config.Machine.Snapshot(now)
-	d.snapshot.Store(&s)
 	if d.observeRunning != nil {
 		d.observeRunning(now, s.Online+s.Batch)
 	}
--- a/sidecar/pkg/dispatch/dispatcher_test.go
+++ b/sidecar/pkg/dispatch/dispatcher_test.go
@@ -64,3 +64,17 @@
 	d.Submit(admit.Tick{})
 	d.Flush()
 }
+
+// Guards against a state that is older than an action that was delivered: whoever starts a request must see it counted.
+func TestSnapshotIncludesDeliveredActions(t *testing.T) {
+	d := newDispatcher(16)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); d.Run(ctx) }()
+	online := make(chan int, 1)
+	id := d.NextID()
+	require.True(t, d.SubmitRequest(admit.Arrive{ID: id, Deadline: 1 << 50}, func(admit.Action) { online <- d.Snapshot().Online }))
+	require.Equal(t, 1, <-online)
+	cancel()
+	<-done
+}
