--- a/common/pkg/web/limit.go
+++ b/common/pkg/web/limit.go
@@ -28,8 +28,9 @@
 			return &limitedConn{Conn: conn, release: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
 		}
 		l.open.Add(-1)
-		_ = conn.Close()
+		// The client may look at the count as soon as its connection is closed.
 		l.onRefuse()
+		_ = conn.Close()
 	}
 }
 
