Add review case 6: a request that crashes runners after half a second isn't found

Rule: BUDGET (a request that crashes the runners that run it reaches runners in more than three retries later than stable-window-ms after it has crashed the third).

A server crashes with the 28th of 35 events of one request, 0.56 s after the run has begun, each time the request comes again. It is never held back: PhaseOf (common/pkg/crashes/report.go) calls a run late that has sent events for half a second, and detectCrash (gateway/pkg/forward/crash.go) then clears the suspicion of the request. The streams of other clients at the server break off.

--- a/review/standin-2/platform/crashes.go
+++ b/review/standin-2/platform/crashes.go
@@ -36,6 +36,13 @@
 	prompt func(id string) string
 }
 
+// requestCrash is one request that comes again, with the same path and body.
+var requestCrash = crashCase{
+	after: 28, crashes: 3,
+	path:   func(int) string { return "/tag" + deadlyPath + "/7" },
+	prompt: func(id string) string { return promptOf(id) },
+}
+
 // partCrash is a part that requests share which have different paths and bodies.
 var partCrash = crashCase{
 	after: 9, crashes: 5,
