Add review case 7: a founding machine's loss keeps the core from forming

One of three machines of the core is lost 20 ms after the first start of the system and replaced by an empty one at another address, a loss that fault-tolerance allows. No configuration is acknowledged in 60 s and each client gets 503: control/pkg/consensus/formation.go forms the group only once all founding members have sent the same identities, and only a group's leader replaces a machine.

--- a/review/standin-2/platform/main.go
+++ b/review/standin-2/platform/main.go
@@ -25,7 +25,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE TARGET-FOLDER RECORD")
 		os.Exit(exitCannotRun)
 	}
-	cases := map[string]func(*fleet, bool) int{"part-crash": partCrash.run, "request-crash": requestCrash.run, "unframed-cut": unframedCut}
+	cases := map[string]func(*fleet, bool) int{"unframed-cut": unframedCut, "first-start": firstStart, "part-crash": partCrash.run, "request-crash": requestCrash.run}
 	run := cases[os.Args[1]]
 	if run == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
