Log each call that broke off with what its runner's address showed

Now each call that breaks has a line and a counter with the presence of its runner and whether a crash would count against the request and its parts, and each failure of an item has one with its count. The check itself is the same; its result has a name for "nothing in time", which was taken for "accepts" before.

--- a/common/pkg/logs/logs.go
+++ b/common/pkg/logs/logs.go
@@ -31,6 +31,7 @@
 	EventRequestEnded    = "request-ended"
 	EventRequestRetried  = "request-goes-elsewhere"
 	EventResumeRequested = "resume-requested"
+	EventCallBroke       = "call-broke"
 	EventRunnerCrashed   = "runner-crashed"
 	EventPartsUnreadable = "prompt-parts-unreadable"
 	EventItemPaused      = "item-paused"
--- a/common/pkg/runner/runner.go
+++ b/common/pkg/runner/runner.go
@@ -72,9 +72,8 @@
 // the context, ends the call, and the runner stops the request.
 type Client struct {
 	Open func(ctx context.Context, call Call) (*Answer, error)
-	// Refuses reports whether a runner refuses new connections, as after a crash until its
-	// restart. It is nil if that can't be determined.
-	Refuses func(ctx context.Context, r *toucanhingev1.Runner) bool
+	// Probe finds out whether an instance of a runner still runs. It is nil if that can't be determined.
+	Probe func(ctx context.Context, r *toucanhingev1.Runner) Presence
 	// Parts returns the parts of the prompt that a call's header lists. It is nil if headers list none.
 	Parts func(header http.Header) ([]prompt.PartID, error)
 }
--- a/control/pkg/batchrun/crash_report.go
+++ b/control/pkg/batchrun/crash_report.go
@@ -58,7 +58,13 @@
 // reportCrash reports a crash if the call broke because its runner crashed, and returns the outcome of the call.
 func (r *run) reportCrash(ctx context.Context, call runner.Call, startedAt clock.Millis) outcomeKind {
 	config := r.driver.config
-	if config.Client.Refuses == nil || ctx.Err() != nil || !config.Client.Refuses(ctx, call.Runner) {
+	if config.Client.Probe == nil || ctx.Err() != nil {
+		return broken
+	}
+	presence := config.Client.Probe(ctx, call.Runner)
+	level.Info(config.Logger).Log(logs.KeyEvent, logs.EventCallBroke, logs.KeyJob, r.key.Job, "index", r.key.Index, logs.KeyItem, call.Request,
+		"runner", call.Runner.GetId(), "presence", presence, "sent-ms", config.Clock.Now()-startedAt)
+	if presence != runner.Gone {
 		return broken
 	}
 	elapsed, running := config.Clock.Now()-startedAt, clock.Millis(-1)
--- a/control/pkg/batchrun/driver_test.go
+++ b/control/pkg/batchrun/driver_test.go
@@ -55,7 +55,7 @@
 		Folder: t.TempDir(), Fatal: func(err error) { t.Error(err) }, Notify: func(c systemstate.Change) { f.driver.Notify(c) },
 	})
 	f.driver = New(Config{
-		Machine: f.machine, Propose: f.propose, Client: runner.Client{Open: f.open, Refuses: func(context.Context, *toucanhingev1.Runner) bool { return f.refuses }}, Exchange: x,
+		Machine: f.machine, Propose: f.propose, Client: runner.Client{Open: f.open, Probe: f.probe}, Exchange: x,
 		Runners:    f.runners,
 		DataCentre: "here", Clock: clock.System(), Logger: log.NewNopLogger(), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
@@ -75,6 +75,13 @@
 	}
 }
 
+func (f *fixture) probe(context.Context, *toucanhingev1.Runner) runner.Presence {
+	if f.refuses {
+		return runner.Gone
+	}
+	return runner.Present
+}
+
 func table(version uint64, prefix string) *toucanhingev1.RoutingTable {
 	return &toucanhingev1.RoutingTable{
 		Version: version, Services: []*toucanhingev1.RoutedService{{Name: "llm"}},
--- a/control/pkg/batchrun/results.go
+++ b/control/pkg/batchrun/results.go
@@ -27,6 +27,7 @@
 			limit = max(route.MaxAttempts, 1)
 		}
 	})
+	level.Info(d.config.Logger).Log(logs.KeyEvent, "item-failure-counted", logs.KeyJob, key.Job, "index", key.Index, "failures", attempts, "limit", limit)
 	if attempts >= limit {
 		d.stop(key)
 		d.failItem(ctx, key, "attempts")
--- a/control/pkg/callproxy/client.go
+++ b/control/pkg/callproxy/client.go
@@ -125,7 +125,7 @@
 
 // RunnerClient returns a runner client that makes its calls through c.
 func (c *Client) RunnerClient() runner.Client {
-	return runner.Client{Open: c.open, Refuses: c.config.Direct.Refuses, Parts: c.config.Direct.Parts}
+	return runner.Client{Open: c.open, Probe: c.config.Direct.Probe, Parts: c.config.Direct.Parts}
 }
 
 func (c *Client) open(ctx context.Context, call runner.Call) (*runner.Answer, error) {
--- a/gateway/pkg/forward/crash.go
+++ b/gateway/pkg/forward/crash.go
@@ -72,13 +72,8 @@
 // detectCrash reports a crash if a call broke because its runner crashed. A runner that is still
 // running may also break a connection; only a crashed one refuses a new connection.
 func (e *exchange) detectCrash(ctx context.Context, r *toucanhingev1.Runner, startedAt clock.Millis, err error) {
-	refuses := e.server.config.Client.Refuses
-	if refuses == nil || errors.Is(err, errRunnerFailed) || errors.Is(err, errEventTimeout) || errors.Is(err, errMissingEvent) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, connectCheckTimeout)
-	defer cancel()
-	if !refuses(ctx, r) {
+	probe := e.server.config.Client.Probe
+	if probe == nil || errors.Is(err, errRunnerFailed) || errors.Is(err, errEventTimeout) || errors.Is(err, errMissingEvent) {
 		return
 	}
 	running := clock.Millis(-1)
@@ -86,6 +81,15 @@
 		running = e.now() - e.callFirstEventAt
 	}
 	phase := crashes.PhaseOf(running, e.now()-startedAt, e.route.Streams())
+	ctx, cancel := context.WithTimeout(ctx, connectCheckTimeout)
+	defer cancel()
+	presence := probe(ctx, r)
+	e.server.metrics.broken.WithLabelValues(string(presence)).Inc()
+	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventCallBroke, logs.KeyRequest, e.request.ID, "runner", r.GetId(),
+		"presence", presence, "running-ms", running, "sent-ms", e.now()-startedAt, "suspect", phase != crashes.Late, "parts-suspect", !e.answered, logs.KeyError, err)
+	if presence != runner.Gone {
+		return
+	}
 	e.server.metrics.crashes.Inc()
 	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventRunnerCrashed, logs.KeyRequest, e.request.ID,
 		logs.KeyFingerprint, e.requestFingerprint(), "runner", r.GetId(), "ran", e.runs, "running-ms", running,
--- a/gateway/pkg/forward/crash_test.go
+++ b/gateway/pkg/forward/crash_test.go
@@ -114,7 +114,7 @@
 
 func (f *crashFleet) startGateway(x *digest.Exchange, known []*toucanhingev1.Runner) {
 	server := New(Config{
-		Client: runner.Client{Open: f.open, Refuses: f.refuses}, Exchange: x, DataCentre: "here", Clock: clock.System(),
+		Client: runner.Client{Open: f.open, Probe: f.probe}, Exchange: x, DataCentre: "here", Clock: clock.System(),
 		Logger: log.NewNopLogger(), Registerer: prometheus.NewRegistry(),
 	})
 	table, err := routing.New(&toucanhingev1.RoutingTable{
@@ -196,9 +196,11 @@
 	}, nil
 }
 
-func (f *crashFleet) refuses(_ context.Context, r *toucanhingev1.Runner) bool {
-	_, up := f.runners[r.GetId()].incarnation()
-	return !up
+func (f *crashFleet) probe(_ context.Context, r *toucanhingev1.Runner) runner.Presence {
+	if _, up := f.runners[r.GetId()].incarnation(); up {
+		return runner.Present
+	}
+	return runner.Gone
 }
 
 // crashBody is a stream that breaks when its runner crashes.
--- a/gateway/pkg/forward/server.go
+++ b/gateway/pkg/forward/server.go
@@ -88,6 +88,7 @@
 	firstEvent     prometheus.Histogram
 	waiting        prometheus.Gauge
 	crashes        prometheus.Counter
+	broken         *prometheus.CounterVec
 }
 
 // New returns a server without a routing table.
@@ -136,6 +137,9 @@
 			crashes: factory.NewCounter(prometheus.CounterOpts{
 				Name: "toucanhinge_calls_crashed_total", Help: "Calls whose runner crashed.",
 			}),
+			broken: factory.NewCounterVec(prometheus.CounterOpts{
+				Name: "toucanhinge_calls_broken_total", Help: "Calls that broke off, by the presence of their runner afterwards.",
+			}, []string{"presence"}),
 		},
 	}
 	factory.NewGaugeFunc(prometheus.GaugeOpts{
