--- a/gateway/pkg/forward/crash_test.go
+++ b/gateway/pkg/forward/crash_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -71,6 +72,10 @@
 	servers  []*Server
 	gateways []*httptest.Server
 
+	// delays are the times from the starts of crashing calls until they crash their runners, in turn; these calls send
+	// events before. If there are none, they crash after crashDelay without an event.
+	delays []time.Duration
+
 	mu sync.Mutex
 	// runs counts the calls that reached a runner, by body.
 	runs map[string]int
@@ -180,19 +185,25 @@
 	}
 	f.mu.Lock()
 	f.runs[string(call.Body)]++
+	delay := crashDelay
 	if crashing(call) {
+		if len(f.delays) > 0 {
+			delay = f.delays[len(f.crashingAt)%len(f.delays)]
+		}
 		f.crashingAt = append(f.crashingAt, time.Now())
 	}
 	f.mu.Unlock()
+	last, noEvents := uint64(12), false
 	switch {
 	case crashing(call):
-		time.AfterFunc(crashDelay, func() { f.crash(r, crashed) })
+		last, noEvents = math.MaxUint64, len(f.delays) == 0
+		time.AfterFunc(delay, func() { f.crash(r, crashed) })
 	case strings.HasPrefix(string(call.Body), "reset"):
 		return nil, &runner.BrokenError{Runner: call.Runner.GetId(), Err: errConnReset}
 	}
 	return &runner.Answer{
 		Status: http.StatusOK, Header: http.Header{"Seal": {call.Runner.GetId()}}, Length: -1,
-		Body: &crashBody{ctx: ctx, crashed: crashed, noEvents: crashing(call), next: call.After + 1, last: 12},
+		Body: &crashBody{ctx: ctx, crashed: crashed, noEvents: noEvents, next: call.After + 1, last: last},
 	}, nil
 }
 
@@ -304,6 +315,56 @@
 	require.Contains(t, last.body, "crashes-runners")
 }
 
+// crashTimes are the times after which requests crash their runners, in turn.
+var crashTimes = []struct {
+	name   string
+	delays []time.Duration
+}{
+	{"at once", []time.Duration{30 * time.Millisecond}},
+	{"soon", []time.Duration{180 * time.Millisecond}},
+	{"late", []time.Duration{560 * time.Millisecond}},
+	{"very late", []time.Duration{1_300 * time.Millisecond}},
+	{"at any time", []time.Duration{
+		20 * time.Millisecond, 1_500 * time.Millisecond, 260 * time.Millisecond, 700 * time.Millisecond, 90 * time.Millisecond,
+	}},
+}
+
+// Guards against a request that crashes runners later than any time limit of the product says, or at another time each
+// time, so that no crash counts against it.
+func TestCrashingRequestIsQuarantinedWheneverItCrashes(t *testing.T) {
+	const span = 11 * time.Second
+	for _, c := range crashTimes {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := startCrashFleet(t, 3)
+			f.delays = c.delays
+			l := startLoad(f, 10)
+			for i, from := 0, time.Now(); time.Since(from) < span; i++ {
+				f.send(i, "/stream/bad", fmt.Sprintf("q%d", i), "crash")
+				time.Sleep(callerDelay)
+			}
+			l.stop()
+			require.Greater(t, len(f.crashedAt), 2)
+			late := f.sentLaterThan(f.crashedAt[2].Add(noticeLimit))
+			t.Logf("%d crashes, %d calls later than %v after the third, %d sound attempts refused", len(f.crashedAt), late, noticeLimit, l.refused(ReasonCrashes))
+			require.LessOrEqual(t, late, maxLateRuns)
+			require.Zero(t, l.refused(ReasonCrashes), "no sound request may be quarantined")
+		})
+	}
+}
+
+// sentLaterThan counts the crashing calls that reached runners later than a time.
+func (f *crashFleet) sentLaterThan(limit time.Time) (count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, at := range f.crashingAt {
+		if at.After(limit) {
+			count++
+		}
+	}
+	return count
+}
+
 // freeAddress returns a loopback address with a free UDP port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/gateway/pkg/forward/part_crash_test.go
+++ b/gateway/pkg/forward/part_crash_test.go
@@ -32,6 +32,7 @@
 type attempt struct {
 	sentAt time.Time
 	began  bool
+	body   string
 }
 
 // load sends requests that share the caller's part until it is stopped.
@@ -63,7 +64,7 @@
 			"caller", fmt.Sprintf("topic %d", n%40))
 		began := got.status == http.StatusOK && strings.Contains(got.body, "data:")
 		l.mu.Lock()
-		l.attempts = append(l.attempts, attempt{sentAt, began})
+		l.attempts = append(l.attempts, attempt{sentAt, began, got.body})
 		l.mu.Unlock()
 		if !began {
 			time.Sleep(callerDelay)
@@ -76,6 +77,18 @@
 	l.callers.Wait()
 }
 
+// refused counts the attempts that were refused for a reason.
+func (l *load) refused(reason string) (count int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.attempts {
+		if strings.Contains(a.body, reason) {
+			count++
+		}
+	}
+	return count
+}
+
 // served returns the share of the requests sent within a period that began at the first attempt, and their number.
 func (l *load) served(from, to time.Time) (share float64, sent int) {
 	l.mu.Lock()
@@ -115,7 +128,26 @@
 // Guards against requests that crash runners one after the other because they are alike only in one part of their
 // prompts, so that no request is suspected twice.
 func TestPromptPartThatCrashesRunnersIsQuarantined(t *testing.T) {
-	f := startCrashFleet(t, 3)
+	requirePartQuarantined(t, startCrashFleet(t, 3))
+}
+
+// Guards against a part that crashes runners after their answers have begun, at the same time or at another one each
+// time, so that the answers speak for it.
+func TestPromptPartIsQuarantinedWheneverItCrashesRunners(t *testing.T) {
+	for _, c := range crashTimes {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := startCrashFleet(t, 3)
+			f.delays = c.delays
+			requirePartQuarantined(t, f)
+		})
+	}
+}
+
+// requirePartQuarantined sends requests with a part that crashes runners beside others. Few of them may reach runners once
+// the part must be known, and the others must be served as usual.
+func requirePartQuarantined(t *testing.T, f *crashFleet) {
+	t.Helper()
 	l := startLoad(f, 10)
 	startedAt := time.Now()
 	time.Sleep(2 * time.Second)
@@ -126,12 +158,7 @@
 
 	require.NotEmpty(t, f.crashedAt)
 	known := f.crashedAt[min(len(f.crashedAt), 5)-1]
-	late := 0
-	for _, at := range f.crashingAt {
-		if at.After(known.Add(noticeLimit)) {
-			late++
-		}
-	}
+	late := f.sentLaterThan(known.Add(noticeLimit))
 	usual, before := l.served(startedAt, crashingFrom)
 	share, during := l.served(known.Add(servedLimit), crashingUntil)
 	t.Logf("%d crashes, %d calls with the part later than %v after the fifth; %.2f of %d other requests began before, %.2f of %d from %v on",
