Round the estimated duration instead of truncating it

math.Exp(math.Log(4000)) is 4000 on x86-64 and just below it on arm64, whose math functions differ, with and without fused multiply and add.

--- a/common/pkg/sizemodel/model.go
+++ b/common/pkg/sizemodel/model.go
@@ -77,6 +77,6 @@
 	case size <= 0 || m.sized == 0:
 		return clock.Millis(m.meanRun)
 	default:
-		return clock.Millis(math.Exp(m.meanLogRun + m.Slope()*(math.Log(float64(size))-m.meanLogSize)))
+		return clock.Millis(math.Round(math.Exp(m.meanLogRun + m.Slope()*(math.Log(float64(size))-m.meanLogSize))))
 	}
 }
