Count an item's failures when they happen, and log them before it runs again

Callers' items that fail at each run reached runners more often than three times max-attempts: the leader took the number of failures from its log alone and sent the item again after 0.1 s, whatever the log did. While a commit takes longer, as with a slow disk, each failure was the first one.

The driver now counts what it has seen itself, and holds the item until its failure is logged, so that a change of leader loses one count at most. Class: a limit that is enforced by a record which lags behind the action that it limits. The limits elsewhere: attempts of online requests are counted before the call (exchange.runs); an impossible item is dropped before its result is logged; crashes of an item rest in memory (dispatch.Crashed).

--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -80,11 +80,15 @@
 	running bool
 	changes []systemstate.Change
 	ended   []outcome
+	// counted are the items whose newest failure was logged.
+	counted []dispatch.Key
 
 	// The fields below are used by the goroutine of Run only, except where they synchronize themselves.
-	machine          *dispatch.Machine
-	runs             map[dispatch.Key]*run
-	progress         map[dispatch.Key]*progress
+	machine  *dispatch.Machine
+	runs     map[dispatch.Key]*run
+	progress map[dispatch.Key]*progress
+	// failures counts the failed attempts of items that this driver knows, including those that aren't logged yet.
+	failures         map[dispatch.Key]uint32
 	routes           *routeCache
 	limiter          *startLimiter
 	loads            *occupancy.Cache[dispatch.Load]
@@ -136,6 +140,7 @@
 	d.machine = dispatch.New()
 	d.runs = map[dispatch.Key]*run{}
 	d.progress = map[dispatch.Key]*progress{}
+	d.failures = map[dispatch.Key]uint32{}
 	d.routes = newRouteCache(d.config.Machine)
 	d.limiter = newStartLimiter()
 	d.loads, d.pacer = &occupancy.Cache[dispatch.Load]{Read: externalLoad}, decisionPacer{}
@@ -145,6 +150,7 @@
 	d.setRunning(true)
 	defer d.setRunning(false)
 	d.drainEnded()
+	d.drainCounted()
 	d.reload()
 	defer d.active.Wait()
 	timer := time.NewTimer(stepInterval)
@@ -195,6 +201,14 @@
 	return ended
 }
 
+func (d *Driver) drainCounted() []dispatch.Key {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counted := d.counted
+	d.counted = nil
+	return counted
+}
+
 // reload adds the items of all open jobs, at the start and after a snapshot was applied.
 func (d *Driver) reload() {
 	d.config.Machine.View(func(s *systemstate.State) {
@@ -230,6 +244,9 @@
 	for _, o := range d.drainEnded() {
 		d.handleOutcome(ctx, now, o)
 	}
+	for _, key := range d.drainCounted() {
+		d.machine.Release(now, key, refusedBackoff)
+	}
 	for _, id := range d.machine.FailingRunners(now) {
 		// Gateways then avoid the runner, too, until this expires.
 		d.config.Exchange.SetUnresponsive(id, true)
@@ -304,6 +321,7 @@
 func (d *Driver) stop(key dispatch.Key) {
 	d.machine.Drop(key)
 	delete(d.progress, key)
+	delete(d.failures, key)
 	if r := d.runs[key]; r != nil {
 		r.halt()
 	}
--- a/control/pkg/batchrun/outcome.go
+++ b/control/pkg/batchrun/outcome.go
@@ -31,6 +31,7 @@
 	case finished:
 		d.machine.Finished(now, key)
 		delete(d.progress, key)
+		delete(d.failures, key)
 		d.completeItem(ctx, key, o.run.progress)
 	case impossible:
 		d.stop(key)
--- a/control/pkg/batchrun/results.go
+++ b/control/pkg/batchrun/results.go
@@ -14,30 +14,45 @@
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
-// countFailure logs a failed attempt, so that the attempt limit of an item holds across changes of leader.
+// countFailure logs a failed attempt, so that the attempt limit of an item holds across changes of leader. A waiting item
+// isn't sent again before: if the log is slow or the leader is lost, its failures would go uncounted.
 func (d *Driver) countFailure(ctx context.Context, key dispatch.Key) {
-	attempts, limit := uint32(1), uint32(1)
-	d.config.Machine.View(func(s *systemstate.State) {
-		j := s.Job(key.Job)
-		if j == nil {
-			return
-		}
-		attempts += j.Items[key.Index].Failures
-		if route, found := s.Route(j); found {
-			limit = max(route.MaxAttempts, 1)
-		}
-	})
-	level.Info(d.config.Logger).Log(logs.KeyEvent, "item-failure-counted", logs.KeyJob, key.Job, "index", key.Index, "failures", attempts, "limit", limit)
-	if attempts >= limit {
+	logged, limit := d.attemptLimit(key)
+	failures := max(logged, d.failures[key]) + 1
+	d.failures[key] = failures
+	level.Info(d.config.Logger).Log(logs.KeyEvent, "item-failure-counted", logs.KeyJob, key.Job, "index", key.Index,
+		"failures", failures, "logged", logged, "limit", limit)
+	if failures >= limit {
 		d.stop(key)
 		d.failItem(ctx, key, "attempts")
 		return
 	}
+	d.machine.Hold(key)
 	d.background(func() {
 		d.logWithRetry(ctx, &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_CountFailure{
 			CountFailure: &toucanhingev1.CountFailureStep{Job: key.Job, Item: key.Index},
 		}})
+		d.mu.Lock()
+		d.counted = append(d.counted, key)
+		d.mu.Unlock()
+		d.Wake()
+	})
+}
+
+// attemptLimit returns how many failures of an item are logged, and with how many it is given up.
+func (d *Driver) attemptLimit(key dispatch.Key) (logged, limit uint32) {
+	limit = 1
+	d.config.Machine.View(func(s *systemstate.State) {
+		j := s.Job(key.Job)
+		if j == nil {
+			return
+		}
+		logged = j.Items[key.Index].Failures
+		if route, found := s.Route(j); found {
+			limit = max(route.MaxAttempts, 1)
+		}
 	})
+	return logged, limit
 }
 
 // completeItem logs an item's text as its result. Only the unlogged part is sent, unless the logged progress
--- a/control/pkg/dispatch/machine.go
+++ b/control/pkg/dispatch/machine.go
@@ -18,6 +18,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"toucanhinge.example/common/pkg/clock"
@@ -253,6 +254,20 @@
 	m.unassign(now, i)
 }
 
+// Hold keeps a waiting item from starting until Release.
+func (m *Machine) Hold(key Key) {
+	if i := m.items[key]; i != nil && i.runner == "" {
+		i.notBefore = math.MaxInt64
+	}
+}
+
+// Release lets a held item start after the backoff.
+func (m *Machine) Release(now clock.Millis, key Key, backoff clock.Millis) {
+	if i := m.items[key]; i != nil {
+		i.notBefore = min(i.notBefore, now+backoff)
+	}
+}
+
 // Block excludes a runner that refused an item or can't be reached from new items until the given
 // time.
 func (m *Machine) Block(runner string, until clock.Millis) {
