See a crash by whether the instance still runs, not by a refused connection

Callers saw requests, and parts of prompts, that crashed one runner after the other for good.

A probe now asks for the runner's health and names the instance: 421, another id in the answer, a refused or a reset connection mean that it is gone. What shows nothing at first is probed again three times in a second, without delaying the retry, and the report has the time of the break.

Class: a fact about one process taken from a sign of its address.

--- a/common/pkg/crashes/report.go
+++ b/common/pkg/crashes/report.go
@@ -1,6 +1,9 @@
 package crashes
 
-import "toucanhinge.example/common/pkg/clock"
+import (
+	"toucanhinge.example/common/pkg/clock"
+	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
+)
 
 // Phase is how far a run had got when its runner crashed.
 type Phase int
@@ -30,6 +33,11 @@
 	StartedAt int64
 }
 
+// CrashOf returns the crash of an instance of a runner.
+func CrashOf(r *toucanhingev1.Runner) Crash {
+	return Crash{Runner: r.GetId(), StartedAt: r.GetBornMs()}
+}
+
 // Report describes a run that ended with a crash of its runner.
 type Report struct {
 	Crash       Crash
--- a/common/pkg/digest/crashes.go
+++ b/common/pkg/digest/crashes.go
@@ -17,7 +17,6 @@
 	"toucanhinge.example/common/pkg/logs"
 	"toucanhinge.example/common/pkg/partcrashes"
 	"toucanhinge.example/common/pkg/prompt"
-	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
 const (
@@ -74,16 +73,13 @@
 	}
 }
 
-// ReportCrash records a run that ended with a crash of its runner and broadcasts the report to
-// all daemons.
-func (x *Exchange) ReportCrash(r *toucanhingev1.Runner, fingerprint crashes.Fingerprint, phase crashes.Phase) {
+// ReportCrash records a run of this daemon that ended with a crash of its runner, and broadcasts the report to all
+// daemons.
+func (x *Exchange) ReportCrash(report crashes.Report) {
 	now := x.config.Clock.Now()
-	report := crashes.Report{
-		Crash: crashes.Crash{Runner: r.GetId(), StartedAt: r.GetBornMs()}, Fingerprint: fingerprint, Phase: phase, At: now,
-	}
 	x.crashState.mu.Lock()
 	defer x.crashState.mu.Unlock()
-	if phase == crashes.Late && x.crashState.machine.KnowsCrash(report.Crash) {
+	if report.Phase == crashes.Late && x.crashState.machine.KnowsCrash(report.Crash) {
 		return
 	}
 	x.crashState.machine.AddReport(now, report)
--- a/common/pkg/digest/crashes_test.go
+++ b/common/pkg/digest/crashes_test.go
@@ -76,7 +76,9 @@
 // reportCrashes reports three runner crashes for a request, each from another daemon.
 func (f *loopbackFleet) reportCrashes(fingerprint crashes.Fingerprint) {
 	for n := range 3 {
-		f.daemons[n%len(f.daemons)].ReportCrash(&toucanhingev1.Runner{Id: fmt.Sprint("r", n)}, fingerprint, crashes.BeforeFirstEvent)
+		f.daemons[n%len(f.daemons)].ReportCrash(crashes.Report{
+			Crash: crashes.Crash{Runner: fmt.Sprint("r", n)}, Fingerprint: fingerprint, Phase: crashes.BeforeFirstEvent, At: clock.System().Now(),
+		})
 	}
 }
 
--- a/common/pkg/digest/part_crashes.go
+++ b/common/pkg/digest/part_crashes.go
@@ -74,17 +74,14 @@
 	}
 }
 
-// ReportPartCrash records the parts of the prompt of a run that ended with a crash of its runner, and broadcasts them
-// to all daemons. unanswered is set if nothing of its answer had arrived.
-func (x *Exchange) ReportPartCrash(r *toucanhingev1.Runner, request crashes.Fingerprint, parts []prompt.PartID, unanswered bool) {
-	if len(parts) == 0 {
+// ReportPartCrash records the parts of the prompt of a run of this daemon that ended with a crash of its runner, and
+// broadcasts them to all daemons.
+func (x *Exchange) ReportPartCrash(report partcrashes.Report) {
+	if len(report.Parts) == 0 {
 		return
 	}
 	now := x.config.Clock.Now()
-	report := partcrashes.Report{
-		Crash: crashes.Crash{Runner: r.GetId(), StartedAt: r.GetBornMs()}, Request: request, Parts: parts, Unanswered: unanswered,
-		At: now, Own: true,
-	}
+	report.Own = true
 	x.crashState.mu.Lock()
 	defer x.crashState.mu.Unlock()
 	x.crashState.outbox.parts.reports = append(x.crashState.outbox.parts.reports, x.crashState.withAnswers(report))
--- a/common/pkg/digest/part_crashes_test.go
+++ b/common/pkg/digest/part_crashes_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/crashes"
+	"toucanhinge.example/common/pkg/partcrashes"
 	"toucanhinge.example/common/pkg/prompt"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
@@ -54,7 +56,9 @@
 			time.Sleep(partCrashGap)
 		}
 		request := crashes.FingerprintOf("POST", "team", fmt.Sprint("/bad/", n), nil)
-		f.daemons[n%len(f.daemons)].ReportPartCrash(&toucanhingev1.Runner{Id: fmt.Sprint("r", n)}, request, parts, true)
+		f.daemons[n%len(f.daemons)].ReportPartCrash(partcrashes.Report{
+			Crash: crashes.Crash{Runner: fmt.Sprint("r", n)}, Request: request, Parts: parts, Unanswered: true, At: clock.System().Now(),
+		})
 	}
 }
 
--- a/common/pkg/routing/table.go
+++ b/common/pkg/routing/table.go
@@ -102,6 +102,16 @@
 // Wire returns the table in the form that the core stores, with the operator's document.
 func (t *Table) Wire() *toucanhingev1.RoutingTable { return t.wire }
 
+// HealthPath returns the path at which the runners of a service tell whether they are healthy, empty if there is none.
+func (t *Table) HealthPath(service string) string {
+	for _, s := range t.wire.GetServices() {
+		if s.GetName() == service {
+			return s.GetHealthPath()
+		}
+	}
+	return ""
+}
+
 // WithoutDocument returns the table in the form that is sent to gateways. They don't need the
 // operator's document, which is longer than the rest and contains the teams' keys.
 func (t *Table) WithoutDocument() *toucanhingev1.RoutingTable {
--- a/control/pkg/batchrun/crash_report.go
+++ b/control/pkg/batchrun/crash_report.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-kit/log/level"
 
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/crashes"
 	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/partcrashes"
 	"toucanhinge.example/common/pkg/runner"
 )
 
@@ -15,6 +17,9 @@
 // been cleared in the meantime.
 const maxQuarantineBackoff clock.Millis = 5_000
 
+// probeTimeout is how long a runner has to show whether it still runs after a call broke off.
+const probeTimeout = 100 * time.Millisecond
+
 // minQuarantineBackoff is the shortest delay until such an item is checked again. While an item with a suspected part
 // of its prompt is tried, there may be thousands of others with it.
 const minQuarantineBackoff clock.Millis = 300
@@ -61,7 +66,9 @@
 	if config.Client.Probe == nil || ctx.Err() != nil {
 		return broken
 	}
-	presence := config.Client.Probe(ctx, call.Runner)
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	presence := config.Client.Probe(probeCtx, call.Runner)
 	level.Info(config.Logger).Log(logs.KeyEvent, logs.EventCallBroke, logs.KeyJob, r.key.Job, "index", r.key.Index, logs.KeyItem, call.Request,
 		"runner", call.Runner.GetId(), "presence", presence, "sent-ms", config.Clock.Now()-startedAt)
 	if presence != runner.Gone {
@@ -78,9 +85,12 @@
 		logs.KeyItem, call.Request, logs.KeyFingerprint, fingerprintOf(call), "runner", call.Runner.GetId(), "running-ms", running,
 		logs.KeyParts, r.parts)
 	// The crash counts among those that requests meet by chance; the item isn't its cause.
-	config.Exchange.ReportCrash(call.Runner, fingerprintOf(call), crashes.Late)
+	crash, at := crashes.CrashOf(call.Runner), config.Clock.Now()
+	config.Exchange.ReportCrash(crashes.Report{Crash: crash, Fingerprint: fingerprintOf(call), Phase: crashes.Late, At: at})
 	if !r.answered {
-		config.Exchange.ReportPartCrash(call.Runner, fingerprintOf(call), r.parts, r.firstEventAt == 0)
+		config.Exchange.ReportPartCrash(partcrashes.Report{
+			Crash: crash, Request: fingerprintOf(call), Parts: r.parts, Unanswered: r.firstEventAt == 0, At: at,
+		})
 	}
 	if r.ranLong {
 		return broken
--- a/control/pkg/core/core.go
+++ b/control/pkg/core/core.go
@@ -224,6 +224,14 @@
 	return 0
 }
 
+// HealthPath returns the path at which the runners of a service tell whether they are healthy, empty if unknown.
+func (c *Core) HealthPath(service string) string {
+	if t := c.activeTable(); t != nil {
+		return t.HealthPath(service)
+	}
+	return ""
+}
+
 // activeTable returns the active routing table, nil if there is none.
 func (c *Core) activeTable() *routing.Table {
 	var table *routing.Table
--- a/gateway/pkg/forward/crash.go
+++ b/gateway/pkg/forward/crash.go
@@ -11,14 +11,20 @@
 	"toucanhinge.example/common/pkg/clock"
 	"toucanhinge.example/common/pkg/crashes"
 	"toucanhinge.example/common/pkg/logs"
+	"toucanhinge.example/common/pkg/partcrashes"
 	"toucanhinge.example/common/pkg/runner"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
 
-// connectCheckTimeout is how long a runner has to refuse a connection: a round trip between data
-// centres, and scheduling delay on a slow VM. A retry is delayed by this time if the runner's VM is
-// unreachable and answers nothing.
-const connectCheckTimeout = 40 * time.Millisecond
+// probeTimeout is how long a runner has to show whether it still runs after a call broke off: two round trips between data
+// centres, and scheduling delay on a slow VM. A retry is delayed by this time if the runner's VM is unreachable and answers
+// nothing.
+const probeTimeout = 40 * time.Millisecond
+
+// recheckDelays are the pauses before a runner that showed nothing is probed again, recheckTimeout how long it then has.
+var recheckDelays = []time.Duration{60 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond}
+
+const recheckTimeout = 200 * time.Millisecond
 
 // maxSuspectedWait is how long a request waits while another one finds out whether a part of its prompt crashes
 // runners. Clients of streams wait two seconds.
@@ -69,38 +75,87 @@
 	return verdict, ReasonPartCrashes
 }
 
-// detectCrash reports a crash if a call broke because its runner crashed. A runner that is still
-// running may also break a connection; only a crashed one refuses a new connection.
+// brokenCall is a call that broke off, with what it says if its runner has crashed.
+type brokenCall struct {
+	runner  *toucanhingev1.Runner
+	request string
+	runs    int
+	report  crashes.Report
+	// parts is the report on the parts of the prompt. It has none if an answer speaks for them.
+	parts partcrashes.Report
+	// running is how long events had come, -1 for none.
+	running clock.Millis
+}
+
+// detectCrash reports a crash if a call broke because its runner crashed. A runner that still runs may also break a
+// connection.
 func (e *exchange) detectCrash(ctx context.Context, r *toucanhingev1.Runner, startedAt clock.Millis, err error) {
 	probe := e.server.config.Client.Probe
 	if probe == nil || errors.Is(err, errRunnerFailed) || errors.Is(err, errEventTimeout) || errors.Is(err, errMissingEvent) {
 		return
 	}
-	running := clock.Millis(-1)
-	if e.callFirstEventAt > 0 {
-		running = e.now() - e.callFirstEventAt
-	}
-	phase := crashes.PhaseOf(running, e.now()-startedAt, e.route.Streams())
-	ctx, cancel := context.WithTimeout(ctx, connectCheckTimeout)
+	call := e.brokenCall(r, startedAt)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	presence := probe(ctx, r)
 	e.server.metrics.broken.WithLabelValues(string(presence)).Inc()
 	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventCallBroke, logs.KeyRequest, e.request.ID, "runner", r.GetId(),
-		"presence", presence, "running-ms", running, "sent-ms", e.now()-startedAt, "suspect", phase != crashes.Late, "parts-suspect", !e.answered, logs.KeyError, err)
-	if presence != runner.Gone {
-		return
+		"presence", presence, "running-ms", call.running, "sent-ms", call.report.At-startedAt,
+		"suspect", call.report.Phase != crashes.Late, "parts-suspect", len(call.parts.Parts) > 0, logs.KeyError, err)
+	switch presence {
+	case runner.Gone:
+		e.server.reportCrash(call)
+	case runner.Unknown:
+		go e.server.recheck(call)
+	case runner.Present:
 	}
-	e.server.metrics.crashes.Inc()
-	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventRunnerCrashed, logs.KeyRequest, e.request.ID,
-		logs.KeyFingerprint, e.requestFingerprint(), "runner", r.GetId(), "ran", e.runs, "running-ms", running,
-		logs.KeyParts, e.request.SharedParts)
-	if phase == crashes.Late {
-		e.clearSuspicion()
+}
+
+func (e *exchange) brokenCall(r *toucanhingev1.Runner, startedAt clock.Millis) brokenCall {
+	now, crash := e.now(), crashes.CrashOf(r)
+	call := brokenCall{runner: r, request: e.request.ID, runs: e.runs, running: -1}
+	if e.callFirstEventAt > 0 {
+		call.running = now - e.callFirstEventAt
 	}
-	e.server.config.Exchange.ReportCrash(r, e.requestFingerprint(), phase)
+	phase := crashes.PhaseOf(call.running, now-startedAt, e.route.Streams())
+	call.report = crashes.Report{Crash: crash, Fingerprint: e.requestFingerprint(), Phase: phase, At: now}
+	call.parts = partcrashes.Report{Crash: crash, Request: e.requestFingerprint(), Unanswered: e.callFirstEventAt == 0, At: now}
 	if !e.answered {
-		e.server.config.Exchange.ReportPartCrash(r, e.requestFingerprint(), e.request.SharedParts, e.callFirstEventAt == 0)
+		call.parts.Parts = e.request.SharedParts
 	}
+	return call
+}
+
+// recheck probes the runner of a broken call again that gave no answer at first. On a busy VM an answer may take longer than
+// a retry of the request can wait, and a crash that isn't seen lets the request crash the next runner.
+func (s *Server) recheck(call brokenCall) {
+	for _, delay := range recheckDelays {
+		time.Sleep(delay)
+		ctx, cancel := context.WithTimeout(context.Background(), recheckTimeout)
+		presence := s.config.Client.Probe(ctx, call.runner)
+		cancel()
+		if presence == runner.Unknown {
+			continue
+		}
+		s.metrics.broken.WithLabelValues("later-" + string(presence)).Inc()
+		if presence == runner.Gone {
+			s.reportCrash(call)
+		}
+		return
+	}
+}
+
+// reportCrash reports that the runner of a broken call has crashed.
+func (s *Server) reportCrash(call brokenCall) {
+	s.metrics.crashes.Inc()
+	level.Info(s.config.Logger).Log(logs.KeyEvent, logs.EventRunnerCrashed, logs.KeyRequest, call.request,
+		logs.KeyFingerprint, call.report.Fingerprint, "runner", call.runner.GetId(), "ran", call.runs, "running-ms", call.running,
+		logs.KeyParts, call.parts.Parts)
+	if call.report.Phase == crashes.Late {
+		s.clearSuspicion(call.report.Fingerprint)
+	}
+	s.config.Exchange.ReportCrash(call.report)
+	s.config.Exchange.ReportPartCrash(call.parts)
 }
 
 // recordAnswer records that the runner answers the request and didn't crash when it began. A runner that crashes may
@@ -115,7 +170,9 @@
 
 // recordSuccess records that the request was answered completely.
 func (e *exchange) recordSuccess(answer *runner.Answer) {
-	e.clearSuspicion()
+	if e.server.config.Exchange.HasSuspects() {
+		e.server.clearSuspicion(e.requestFingerprint())
+	}
 	if !e.answered && answer.Status == http.StatusOK {
 		e.answered = true
 		e.server.config.Exchange.RecordAnswer(e.request.SharedParts, e.now())
@@ -123,10 +180,8 @@
 }
 
 // clearSuspicion clears the suspicion of a request that ran without crashing its runner.
-func (e *exchange) clearSuspicion() {
-	if x := e.server.config.Exchange; x.HasSuspects() {
-		x.RecordSuccess(e.requestFingerprint())
-	}
+func (s *Server) clearSuspicion(fingerprint crashes.Fingerprint) {
+	s.config.Exchange.RecordSuccess(fingerprint)
 }
 
 // requestFingerprint returns the fingerprint of the request, which is computed on first use.
--- a/gateway/pkg/forward/crash_test.go
+++ b/gateway/pkg/forward/crash_test.go
@@ -76,6 +76,9 @@
 	// events before. If there are none, they crash after crashDelay without an event.
 	delays []time.Duration
 
+	// probeTime is how long a probe of a runner takes.
+	probeTime time.Duration
+
 	mu sync.Mutex
 	// runs counts the calls that reached a runner, by body.
 	runs map[string]int
@@ -207,7 +210,12 @@
 	}, nil
 }
 
-func (f *crashFleet) probe(_ context.Context, r *toucanhingev1.Runner) runner.Presence {
+func (f *crashFleet) probe(ctx context.Context, r *toucanhingev1.Runner) runner.Presence {
+	select {
+	case <-ctx.Done():
+		return runner.Unknown
+	case <-time.After(f.probeTime):
+	}
 	if _, up := f.runners[r.GetId()].incarnation(); up {
 		return runner.Present
 	}
@@ -315,6 +323,21 @@
 	require.Contains(t, last.body, "crashes-runners")
 }
 
+// Guards against crashes that aren't seen because a busy VM learns too late whether a runner still runs.
+func TestCrashingRequestIsQuarantinedIfProbesAreSlow(t *testing.T) {
+	f := startCrashFleet(t, 3)
+	f.probeTime = 2 * probeTimeout
+	refused := 0
+	for i := range 20 {
+		if got := f.send(i, "/stream/bad", fmt.Sprintf("q%d", i), "crash"); strings.Contains(got.body, ReasonCrashes) {
+			refused++
+		}
+		time.Sleep(callerDelay)
+	}
+	require.LessOrEqual(t, f.ran("crash"), 8)
+	require.Positive(t, refused)
+}
+
 // crashTimes are the times after which requests crash their runners, in turn.
 var crashTimes = []struct {
 	name   string
@@ -418,7 +441,9 @@
 	x := f.servers[0].config.Exchange
 	fingerprint := crashes.FingerprintOf(http.MethodPost, "team", "/stream/bad", []byte("crash"))
 	for n := range 2 {
-		x.ReportCrash(&toucanhingev1.Runner{Id: fmt.Sprint("earlier", n)}, fingerprint, crashes.BeforeFirstEvent)
+		x.ReportCrash(crashes.Report{
+			Crash: crashes.Crash{Runner: fmt.Sprint("earlier", n)}, Fingerprint: fingerprint, Phase: crashes.BeforeFirstEvent, At: clock.System().Now(),
+		})
 	}
 	startedAt := time.Now()
 	delayed := f.send(0, "/stream/bad", "q1", "crash")
