Count a crash against a request however long the run had lasted

Callers saw a request reach runners again and again although it had crashed more than three: after half a second of events a crash didn't count, and it cleared the request.

A crash now counts by the probability that a harmless request meets it: the rate of crashes in which the request has no part, in the last ten seconds or around this crash, times how long the run was exposed. So a long run is weak evidence while runners crash for other reasons, and strong evidence in a calm fleet. Crashes of one wave count as one. Only a complete answer clears a request.

TestPhaseOf stated the limit itself; TestLongRunsNeedMoreCrashesAmongUnrelatedOnes takes its place: it fixes the number of crashes for six exposures and loads.

--- a/common/pkg/crashes/evidence.go
+++ b/common/pkg/crashes/evidence.go
@@ -1,7 +1,8 @@
 package crashes
 
 import (
-	"math"
+	"cmp"
+	"slices"
 
 	"toucanhinge.example/common/pkg/clock"
 )
@@ -15,124 +16,146 @@
 	minLead    = 2
 	// sufficientLikeliest crashes are sufficient with any lead over the other suspects.
 	sufficientLikeliest = 5
-	// sufficientCrashes are sufficient without a lead. Crashes of early runs are included. While
-	// runners crash often for other reasons, a harmless request may meet sufficientCrashes
-	// crashes. Then only crashes before the first event count, or sufficientUnstable crashes with
-	// those of early runs are needed.
-	sufficientCrashes  = 6
-	sufficientUnstable = 8
-	// sufficientShared crashes are sufficient even if a quarantined request explains some of
+	// sufficientMany crashes are sufficient with any lead and maxManyFalsePositive: several requests that crash runners late
+	// must be found soon, too.
+	sufficientMany       = 6
+	maxManyFalsePositive = 1e-4
+	// sufficientSilent crashes before the first event are sufficient without a lead.
+	sufficientSilent = 6
+	// sufficientAll crashes are sufficient without a lead if they are no chance.
+	sufficientAll = 8
+	// sufficientShared crashes before the first event are sufficient even if a quarantined request explains some of
 	// them. Otherwise several requests that crash runners at the same time would hide one another.
 	sufficientShared = 7
-	// maxFalsePositive is the maximum probability that a harmless request meets the needed number
-	// of consecutive crashes before its first event.
+	// maxFalsePositive is the maximum probability that a harmless request meets all these crashes.
 	maxFalsePositive = 2e-6
-	// firstEventWait is how long a request waits for its first event, queues included.
-	firstEventWait clock.Millis = 150
+	// minExposure is the shortest time for which a run counts as exposed to crashes: queues and the wait for the first
+	// event.
+	minExposure clock.Millis = 150
 	// crashWindow is the period over which crashes for other reasons are counted.
 	crashWindow clock.Millis = 10_000
+	// waveSpan is the time before and after a crash within which other crashes belong to the same wave.
+	waveSpan clock.Millis = 300
 	// propagationDelay is the time after a crash until all gateways have received the reports of
 	// it. Datagrams take a few milliseconds, small VMs are tens of milliseconds late, and a lost
 	// datagram is sent again after 40 ms.
 	propagationDelay clock.Millis = 100
 )
 
-// evidence counts the crashes of a suspect. Crashes explained by a quarantined request count only
-// in shared.
+// evidence holds the crashes of a suspect. Crashes explained by a quarantined request count only in shared.
 type evidence struct {
-	// all counts every crash, beforeFirstEvent those before the first event of the run.
-	all              int
-	beforeFirstEvent int
-	// shared counts the crashes before the first event, including explained ones.
-	shared int
-	// likeliest counts the crashes before the first event for which no other suspect is as
-	// likely, leading those for which this suspect leads by minLead.
-	likeliest int
-	leading   int
+	// likeliest are the crashes for which no other suspect is as likely, leading those for which this suspect leads by
+	// minLead.
+	all, likeliest, leading []metCrash
+	// silent counts the crashes before the first event, shared the same including explained ones.
+	silent, shared int
 	// newest is the time of the newest crash.
 	newest clock.Millis
 }
 
-// sufficient reports whether the evidence justifies a quarantine if needed crashes are required.
-func (e evidence) sufficient(needed int) bool {
-	if e.leading >= needed || e.likeliest >= max(needed, sufficientLikeliest) ||
-		e.beforeFirstEvent >= sufficientCrashes || e.shared >= sufficientShared {
-		return true
-	}
-	if needed == minCrashes {
-		return e.all >= sufficientCrashes
-	}
-	return e.all >= sufficientUnstable
+// sufficient reports whether the evidence justifies a quarantine. While runners crash for other reasons, in waves or one
+// after the other, a harmless request that is retried several times may meet three of them, the sooner the longer it runs.
+func (e evidence) sufficient() bool {
+	return e.silent >= sufficientSilent || e.shared >= sufficientShared ||
+		len(e.leading) >= minCrashes && falsePositive(e.leading) <= maxFalsePositive ||
+		len(e.likeliest) >= sufficientLikeliest && falsePositive(e.likeliest) <= maxFalsePositive ||
+		len(e.likeliest) >= sufficientMany && falsePositive(e.likeliest) <= maxManyFalsePositive ||
+		len(e.all) >= sufficientAll && falsePositive(e.all) <= maxFalsePositive
+}
+
+// metCrash is a crash of a suspect, with the probability that a harmless request meets it during its run.
+type metCrash struct {
+	at     clock.Millis
+	chance float64
 }
 
-// crashesNeeded returns the number of crashes required for a quarantine. While runners crash for
-// other reasons, in waves or one after the other, a harmless request that is retried several times
-// may meet three of them.
-func (m *Machine) crashesNeeded(now clock.Millis, s *suspect) int {
-	otherCrashes := 0
-	for id, c := range m.crashes {
-		if now-c.at <= crashWindow && !c.explained && !s.crashes[id] {
-			otherCrashes++
+// falsePositive returns the probability that a harmless request meets all these crashes. Those of one wave count as one,
+// and if there is one in each wave, the likeliest doesn't count, since the first two are often close together.
+func falsePositive(crashes []metCrash) float64 {
+	slices.SortFunc(crashes, func(a, b metCrash) int { return cmp.Compare(a.at, b.at) })
+	product, likeliest, waves := 1.0, 0.0, 0
+	for i := 0; i < len(crashes); waves++ {
+		chance, end := 0.0, crashes[i].at+waveSpan
+		for ; i < len(crashes) && crashes[i].at < end; i++ {
+			chance = max(chance, crashes[i].chance)
 		}
+		product *= chance
+		likeliest = max(likeliest, chance)
 	}
-	probability := float64(otherCrashes+1) * float64(firstEventWait) / (float64(crashWindow) * float64(max(m.runnerCount, 1)))
-	// The first two crashes are often close together, so they count as one.
-	falsePositive := math.Pow(probability, minCrashes-1)
-	for crashes := minCrashes; crashes < sufficientCrashes; crashes++ {
-		if falsePositive <= maxFalsePositive {
-			return crashes
-		}
-		falsePositive *= probability
+	if waves == len(crashes) {
+		return product / likeliest
 	}
-	return sufficientCrashes
+	return product
 }
 
-// evidence counts the crashes of a suspect. Crashes whose reports may still be incomplete don't
-// count as likeliest or leading.
+// evidence collects the crashes of a suspect. Crashes whose reports may still be incomplete don't count as likeliest or
+// leading.
 func (m *Machine) evidence(now clock.Millis, s *suspect) evidence {
-	e := evidence{beforeFirstEvent: m.countBeforeFirstEvent(s)}
+	e := evidence{}
+	own := map[Phase]int{Answering: m.countCrashes(s, Answering), BeforeFirstEvent: m.countCrashes(s, BeforeFirstEvent)}
+	e.silent = own[BeforeFirstEvent]
 	for id := range s.crashes {
 		c := m.crashes[id]
-		if c.suspects[s.fingerprint] == BeforeFirstEvent {
+		found := c.suspects[s.fingerprint]
+		if found.phase == BeforeFirstEvent {
 			e.shared++
 		}
 		if c.explained {
 			continue
 		}
-		e.all++
+		met := metCrash{at: c.at, chance: m.chance(now, s, c)}
+		e.all = append(e.all, met)
 		e.newest = max(e.newest, c.at)
-		if c.at+propagationDelay > now || c.suspects[s.fingerprint] != BeforeFirstEvent {
+		if c.at+propagationDelay > now {
 			continue
 		}
-		otherCount := m.maxOtherCount(c, s.fingerprint)
-		if otherCount < e.beforeFirstEvent {
-			e.likeliest++
+		others := m.maxOtherCount(c, s.fingerprint, found.phase)
+		if others < own[found.phase] {
+			e.likeliest = append(e.likeliest, met)
 		}
-		if otherCount <= e.beforeFirstEvent-minLead {
-			e.leading++
+		if others <= own[found.phase]-minLead {
+			e.leading = append(e.leading, met)
 		}
 	}
 	return e
 }
 
-// countBeforeFirstEvent counts the crashes of a suspect before the first event of its run that no
-// quarantined request explains.
-func (m *Machine) countBeforeFirstEvent(s *suspect) int {
+// chance returns the probability that a harmless request meets a crash during its run, from the unrelated crashes of the
+// last seconds or, if there were more, from those around the crash.
+func (m *Machine) chance(now clock.Millis, s *suspect, c *crash) float64 {
+	recent, around := 1, 0
+	for id, other := range m.crashes {
+		if other.explained || s.crashes[id] {
+			continue
+		}
+		if now-other.at <= crashWindow {
+			recent++
+		}
+		if max(other.at-c.at, c.at-other.at) <= waveSpan {
+			around++
+		}
+	}
+	rate := max(float64(recent)/float64(crashWindow), float64(around)/float64(2*waveSpan)) / float64(max(m.runnerCount, 1))
+	return min(rate*float64(c.suspects[s.fingerprint].exposure), 1)
+}
+
+// countCrashes counts the crashes of a suspect in a phase or an earlier one that no quarantined request explains.
+func (m *Machine) countCrashes(s *suspect, phase Phase) int {
 	count := 0
 	for id := range s.crashes {
-		if c := m.crashes[id]; !c.explained && c.suspects[s.fingerprint] == BeforeFirstEvent {
+		if c := m.crashes[id]; !c.explained && c.suspects[s.fingerprint].phase >= phase {
 			count++
 		}
 	}
 	return count
 }
 
-// maxOtherCount returns the highest beforeFirstEvent count among the other suspects of a crash.
-func (m *Machine) maxOtherCount(c *crash, fingerprint Fingerprint) int {
+// maxOtherCount returns the highest number of crashes in a phase or an earlier one among the other suspects of a crash.
+func (m *Machine) maxOtherCount(c *crash, fingerprint Fingerprint, phase Phase) int {
 	maxCount := 0
 	for other := range c.suspects {
 		if other != fingerprint {
-			maxCount = max(maxCount, m.countBeforeFirstEvent(m.suspects[other]))
+			maxCount = max(maxCount, m.countCrashes(m.suspects[other], phase))
 		}
 	}
 	return maxCount
--- a/common/pkg/crashes/machine.go
+++ b/common/pkg/crashes/machine.go
@@ -43,18 +43,25 @@
 	quarantine Quarantine
 }
 
+// sighting is a run of a suspect that ended with a crash.
+type sighting struct {
+	phase Phase
+	// exposure is how long the run could meet a crash by chance.
+	exposure clock.Millis
+}
+
 // crash holds the suspects of one crash.
 type crash struct {
 	at       clock.Millis
-	suspects map[Fingerprint]Phase
+	suspects map[Fingerprint]sighting
 	// explained is set if a quarantined request, cause, explains the crash.
 	explained bool
 	cause     Fingerprint
 }
 
 // Machine decides from crash reports which requests to quarantine. It is designed for a request that
-// crashes every runner that starts it, and that callers retry with new ids at any gateway about
-// 70 ms after each error. Eight to sixteen harmless requests share each of these runners and are
+// crashes every runner that starts it, however long after, and that callers retry with new ids at any gateway about
+// 70 ms after each error. Only a complete answer clears a request. Eight to sixteen harmless requests share each of these runners and are
 // retried too. Machine holds no goroutine, socket or clock.
 type Machine struct {
 	suspects map[Fingerprint]*suspect
@@ -87,7 +94,7 @@
 func (m *Machine) IsSuspect(fingerprint Fingerprint) bool { return m.suspects[fingerprint] != nil }
 
 // AddReport applies the report of a run that ended with a crash, at this or another gateway. A
-// duplicate changes nothing. The report of a late run adds the crash but no suspect.
+// duplicate changes nothing. The report of an unsuspected run adds the crash but no suspect.
 func (m *Machine) AddReport(now clock.Millis, r Report) {
 	if now-r.At > retention {
 		return
@@ -95,17 +102,17 @@
 	c := m.crashes[r.Crash]
 	if c == nil {
 		m.evictCrash(now)
-		c = &crash{at: r.At, suspects: map[Fingerprint]Phase{}}
+		c = &crash{at: r.At, suspects: map[Fingerprint]sighting{}}
 		m.crashes[r.Crash] = c
 		m.newest = max(m.newest, r.At)
 	}
-	if r.Phase != Early && r.Phase != BeforeFirstEvent || m.cleared[r.Fingerprint] > 0 && m.cleared[r.Fingerprint] >= r.At {
+	if r.Phase != Answering && r.Phase != BeforeFirstEvent || m.cleared[r.Fingerprint] > 0 && m.cleared[r.Fingerprint] >= r.At {
 		return
 	}
-	if c.suspects[r.Fingerprint] > 0 || len(c.suspects) >= maxSuspectsPerCrash {
+	if _, known := c.suspects[r.Fingerprint]; known || len(c.suspects) >= maxSuspectsPerCrash {
 		return
 	}
-	c.suspects[r.Fingerprint] = r.Phase
+	c.suspects[r.Fingerprint] = sighting{phase: r.Phase, exposure: max(r.Ran, minExposure)}
 	s := m.suspect(now, r.Fingerprint)
 	s.crashes[r.Crash] = true
 	s.updatedAt = max(s.updatedAt, r.At)
@@ -141,11 +148,11 @@
 		return Verdict{Quarantined, s.quarantine.Until}
 	}
 	e := m.evidence(now, s)
-	if e.sufficient(m.crashesNeeded(now, s)) {
+	if e.sufficient() {
 		m.quarantine(now, s)
 		return Verdict{Quarantined, s.quarantine.Until}
 	}
-	if e.beforeFirstEvent < minDelayedCrashes && e.all <= minDelayedCrashes {
+	if e.silent < minDelayedCrashes && len(e.all) <= minDelayedCrashes {
 		return Verdict{}
 	}
 	until := min(max(e.newest+delayAfterOwnCrash, m.newest+delayAfterAnyCrash), e.newest+maxDelay)
--- a/common/pkg/crashes/machine_test.go
+++ b/common/pkg/crashes/machine_test.go
@@ -122,21 +122,36 @@
 	require.False(t, m.ApplyQuarantine(start, Quarantine{Fingerprint: testFingerprint(2), Since: start - minute, Until: start, Count: 1}))
 }
 
-func TestPhaseOf(t *testing.T) {
+// Guards against requests that are never found because they crash runners late, and against harmless ones that are
+// quarantined because they run for long while runners crash for other reasons.
+func TestLongRunsNeedMoreCrashesAmongUnrelatedOnes(t *testing.T) {
 	for _, c := range []struct {
-		name              string
-		streamed, sentAgo clock.Millis
-		streams           bool
-		want              Phase
+		name      string
+		ran       clock.Millis
+		unrelated int
+		needed    int
 	}{
-		{"no event", -1, 90, true, BeforeFirstEvent},
-		{"no event, long in a queue", -1, 3_000, true, BeforeFirstEvent},
-		{"events for a short time", 200, 300, true, Early},
-		{"events for a long time", earlyDuration, 900, true, Late},
-		{"no stream, early crash", -1, 90, false, BeforeFirstEvent},
-		{"no stream, late crash", -1, earlyDuration, false, Early},
+		{"soon after the start", 100, 0, 3},
+		{"after half a second", 560, 0, 4},
+		{"after a second and a half", 1_500, 0, 4},
+		{"after five seconds", 5_000, 0, 6},
+		{"after half a second, one other crash each second", 560, 1, 5},
+		{"after half a second, all runners crash each three seconds", 560, 4, 6},
 	} {
-		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, PhaseOf(c.streamed, c.sentAgo, c.streams)) })
+		t.Run(c.name, func(t *testing.T) {
+			m, bad, now := New(), testFingerprint(1), start
+			m.SetRunnerCount(12)
+			count := 0
+			for ; m.Evaluate(now, bad).Status != Quarantined; count++ {
+				m.AddReport(now, Report{Crash: Crash{Runner: fmt.Sprint(count)}, Fingerprint: bad, Phase: Answering, Ran: c.ran, At: now})
+				for n := range c.unrelated {
+					now += 1_000 / clock.Millis(c.unrelated+1)
+					m.AddReport(now, Report{Crash: Crash{Runner: fmt.Sprint("other", count, n)}, At: now})
+				}
+				now += 1_000 / clock.Millis(c.unrelated+1)
+			}
+			require.Equal(t, c.needed, count)
+		})
 	}
 }
 
--- a/common/pkg/crashes/quarantine.go
+++ b/common/pkg/crashes/quarantine.go
@@ -113,9 +113,9 @@
 		if c.explained {
 			continue
 		}
-		for fingerprint, phase := range c.suspects {
+		for fingerprint, found := range c.suspects {
 			if now-c.at <= recentCrash || len(m.suspects[fingerprint].crashes) >= minDelayedCrashes {
-				list = append(list, Report{Crash: id, Fingerprint: fingerprint, Phase: phase, At: c.at})
+				list = append(list, Report{Crash: id, Fingerprint: fingerprint, Phase: found.phase, Ran: found.exposure, At: c.at})
 			}
 		}
 	}
--- a/common/pkg/crashes/report.go
+++ b/common/pkg/crashes/report.go
@@ -10,20 +10,16 @@
 
 // Phases of a run.
 const (
-	// Late runs had sent events for too long to be the cause of the crash.
-	Late Phase = iota
-	// Early runs had sent events for less than earlyDuration.
-	Early
-	// BeforeFirstEvent runs had sent no event. Requests that crash their runner do so 30 to 105 ms
-	// after they start, before their first event.
+	// Unsuspected runs can't be the cause of the crash: those of batch items, which are owed.
+	Unsuspected Phase = iota
+	// Answering runs had sent events, or send none before their end.
+	Answering
+	// BeforeFirstEvent runs were to send events and had sent none.
 	BeforeFirstEvent
 )
 
-// earlyDuration is the time after which a request no longer crashes its runner: five times the
-// longest observed delay of a crash.
-const earlyDuration clock.Millis = 500
-
-// ConfirmedAnswer is the time after the first event of an answer from which on its runner has not crashed by beginning it.
+// ConfirmedAnswer is the time after the first event of an answer from which on its runner has probably not crashed by
+// beginning it. Only a complete answer shows that.
 const ConfirmedAnswer clock.Millis = 120
 
 // Crash identifies one crash by the runner and its start time, 0 if unknown. Each start of a runner
@@ -43,20 +39,8 @@
 	Crash       Crash
 	Fingerprint Fingerprint
 	Phase       Phase
+	// Ran is the time from the start of the run until the crash, 0 if unknown.
+	Ran clock.Millis
 	// At is the time of the crash.
 	At clock.Millis
 }
-
-// PhaseOf returns the phase of a run that ended with a crash. streamed is the time since the first
-// event, negative for none; sentAgo is the time since the request was sent to the runner; streams
-// is set if the response consists of events.
-func PhaseOf(streamed, sentAgo clock.Millis, streams bool) Phase {
-	switch {
-	case streamed >= earlyDuration:
-		return Late
-	case streamed >= 0, !streams && sentAgo >= earlyDuration:
-		return Early
-	default:
-		return BeforeFirstEvent
-	}
-}
--- a/common/pkg/digest/crash_update.go
+++ b/common/pkg/digest/crash_update.go
@@ -27,7 +27,7 @@
 	m := &toucanhingev1.CrashNews{}
 	for _, r := range u.reports {
 		m.Sightings = append(m.Sightings, &toucanhingev1.CrashSighting{
-			Runner: r.Crash.Runner, BornMs: r.Crash.StartedAt, Content: r.Fingerprint[:], Sign: uint32(r.Phase), AgeMs: ageOf(now, r.At),
+			Runner: r.Crash.Runner, BornMs: r.Crash.StartedAt, Content: r.Fingerprint[:], Sign: uint32(r.Phase), AgeMs: ageOf(now, r.At), RanMs: uint32(r.Ran),
 		})
 	}
 	for _, q := range u.quarantines {
@@ -80,7 +80,7 @@
 		if fingerprint, ok := parseFingerprint(entry.GetContent()); ok {
 			x.crashState.machine.AddReport(now, crashes.Report{
 				Crash: crashes.Crash{Runner: entry.GetRunner(), StartedAt: entry.GetBornMs()}, Fingerprint: fingerprint,
-				Phase: crashes.Phase(entry.GetSign()), At: now - clock.Millis(entry.GetAgeMs()),
+				Phase: crashes.Phase(entry.GetSign()), Ran: clock.Millis(entry.GetRanMs()), At: now - clock.Millis(entry.GetAgeMs()),
 			})
 		}
 	}
--- a/common/pkg/digest/crashes.go
+++ b/common/pkg/digest/crashes.go
@@ -79,7 +79,7 @@
 	now := x.config.Clock.Now()
 	x.crashState.mu.Lock()
 	defer x.crashState.mu.Unlock()
-	if report.Phase == crashes.Late && x.crashState.machine.KnowsCrash(report.Crash) {
+	if report.Phase == crashes.Unsuspected && x.crashState.machine.KnowsCrash(report.Crash) {
 		return
 	}
 	x.crashState.machine.AddReport(now, report)
--- a/control/pkg/batchrun/crash_report.go
+++ b/control/pkg/batchrun/crash_report.go
@@ -20,6 +20,9 @@
 // probeTimeout is how long a runner has to show whether it still runs after a call broke off.
 const probeTimeout = 100 * time.Millisecond
 
+// longRun is the time from which on an item has run long enough that it needs no rest after a crash of its runner.
+const longRun clock.Millis = 500
+
 // minQuarantineBackoff is the shortest delay until such an item is checked again. While an item with a suspected part
 // of its prompt is tried, there may be thousands of others with it.
 const minQuarantineBackoff clock.Millis = 300
@@ -63,7 +66,7 @@
 // reportCrash reports a crash if the call broke because its runner crashed, and returns the outcome of the call.
 func (r *run) reportCrash(ctx context.Context, call runner.Call, startedAt clock.Millis) outcomeKind {
 	config := r.driver.config
-	if config.Client.Probe == nil || ctx.Err() != nil {
+	if config.Client.Probe == nil || ctx.Err() != nil || r.isHalted() {
 		return broken
 	}
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -80,13 +83,13 @@
 		// slots, so the item has run since the call was sent.
 		running = elapsed
 	}
-	r.ranLong = r.answered || crashes.PhaseOf(running, elapsed, true) == crashes.Late
+	r.ranLong = r.answered || running >= longRun
 	level.Info(config.Logger).Log(logs.KeyEvent, logs.EventRunnerCrashed, logs.KeyJob, r.key.Job, "index", r.key.Index,
 		logs.KeyItem, call.Request, logs.KeyFingerprint, fingerprintOf(call), "runner", call.Runner.GetId(), "running-ms", running,
 		logs.KeyParts, r.parts)
 	// The crash counts among those that requests meet by chance; the item isn't its cause.
 	crash, at := crashes.CrashOf(call.Runner), config.Clock.Now()
-	config.Exchange.ReportCrash(crashes.Report{Crash: crash, Fingerprint: fingerprintOf(call), Phase: crashes.Late, At: at})
+	config.Exchange.ReportCrash(crashes.Report{Crash: crash, Fingerprint: fingerprintOf(call), At: at})
 	if !r.answered {
 		config.Exchange.ReportPartCrash(partcrashes.Report{
 			Crash: crash, Request: fingerprintOf(call), Parts: r.parts, Unanswered: r.firstEventAt == 0, At: at,
--- a/gateway/pkg/forward/crash.go
+++ b/gateway/pkg/forward/crash.go
@@ -100,8 +100,8 @@
 	presence := probe(ctx, r)
 	e.server.metrics.broken.WithLabelValues(string(presence)).Inc()
 	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventCallBroke, logs.KeyRequest, e.request.ID, "runner", r.GetId(),
-		"presence", presence, "running-ms", call.running, "sent-ms", call.report.At-startedAt,
-		"suspect", call.report.Phase != crashes.Late, "parts-suspect", len(call.parts.Parts) > 0, logs.KeyError, err)
+		"presence", presence, "running-ms", call.running, "sent-ms", call.report.Ran,
+		"parts-suspect", len(call.parts.Parts) > 0, logs.KeyError, err)
 	switch presence {
 	case runner.Gone:
 		e.server.reportCrash(call)
@@ -117,8 +117,10 @@
 	if e.callFirstEventAt > 0 {
 		call.running = now - e.callFirstEventAt
 	}
-	phase := crashes.PhaseOf(call.running, now-startedAt, e.route.Streams())
-	call.report = crashes.Report{Crash: crash, Fingerprint: e.requestFingerprint(), Phase: phase, At: now}
+	call.report = crashes.Report{Crash: crash, Fingerprint: e.requestFingerprint(), Phase: crashes.Answering, Ran: now - startedAt, At: now}
+	if e.route.Streams() && e.callFirstEventAt == 0 {
+		call.report.Phase = crashes.BeforeFirstEvent
+	}
 	call.parts = partcrashes.Report{Crash: crash, Request: e.requestFingerprint(), Unanswered: e.callFirstEventAt == 0, At: now}
 	if !e.answered {
 		call.parts.Parts = e.request.SharedParts
@@ -151,9 +153,6 @@
 	level.Info(s.config.Logger).Log(logs.KeyEvent, logs.EventRunnerCrashed, logs.KeyRequest, call.request,
 		logs.KeyFingerprint, call.report.Fingerprint, "runner", call.runner.GetId(), "ran", call.runs, "running-ms", call.running,
 		logs.KeyParts, call.parts.Parts)
-	if call.report.Phase == crashes.Late {
-		s.clearSuspicion(call.report.Fingerprint)
-	}
 	s.config.Exchange.ReportCrash(call.report)
 	s.config.Exchange.ReportPartCrash(call.parts)
 }
--- a/lab/pkg/crashreplay/fleet.go
+++ b/lab/pkg/crashreplay/fleet.go
@@ -19,6 +19,9 @@
 	// RequestsPerSecond is the number of harmless requests per second, CrashingRequests the number of requests that
 	// crash their runners each time.
 	RequestsPerSecond, CrashingRequests int
+	// CrashAfter are the times from the first event of an answer until the runner crashes, one of which is drawn each time.
+	// If there are none, it crashes before.
+	CrashAfter []clock.Millis
 	// CrashInterval is the mean time between waves of unrelated crashes, 0 for none. Wave is the number of runners
 	// that crash in a wave, WaveGap the time between two of them.
 	CrashInterval, WaveGap clock.Millis
@@ -46,8 +49,6 @@
 	CrashingFrom, CrashingSpan clock.Millis
 	// Paired is set if each crashing part is accompanied by a second one that no other request has.
 	Paired bool
-	// LateAnswer is how long after the first event of an answer the runner crashes instead of before it.
-	LateAnswer bool
 }
 
 // Fleet is a fleet in simulated time with its results.
--- a/lab/pkg/crashreplay/gateway.go
+++ b/lab/pkg/crashreplay/gateway.go
@@ -85,14 +85,12 @@
 // reportCrash reports a run that ended with a crash. streamed is the time since its first event, negative for none.
 func (g *gateway) reportCrash(x *run, crash crashes.Crash, streamed clock.Millis) {
 	f, q := g.fleet, x.request
-	report := crashes.Report{Crash: crash, Fingerprint: q.fingerprint, Phase: crashes.PhaseOf(streamed, f.now-x.sent, true), At: f.now}
-	if report.Phase == crashes.Late {
-		g.recordSuccess(q)
-	}
-	if report.Phase != crashes.Late || !g.requests.KnowsCrash(crash) {
-		g.requests.AddReport(f.now, report)
-		g.broadcast(func(o *gateway) { o.requests.AddReport(f.now, report) })
+	report := crashes.Report{Crash: crash, Fingerprint: q.fingerprint, Phase: crashes.Answering, Ran: f.now - x.sent, At: f.now}
+	if streamed < 0 {
+		report.Phase = crashes.BeforeFirstEvent
 	}
+	g.requests.AddReport(f.now, report)
+	g.broadcast(func(o *gateway) { o.requests.AddReport(f.now, report) })
 	if !x.answered && len(q.parts) > 0 {
 		g.reportParts(partcrashes.Report{Crash: crash, Request: q.fingerprint, Parts: q.parts, Unanswered: streamed < 0, At: f.now, Own: true})
 	}
--- a/lab/pkg/crashreplay/parts_test.go
+++ b/lab/pkg/crashreplay/parts_test.go
@@ -124,9 +124,7 @@
 		{"two parts that never come apart", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, Parts: with(func(p *Parts) {
 			p.Paired = true
 		})}, 0},
-		{"crashes after the first event", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, Parts: with(func(p *Parts) {
-			p.LateAnswer = true
-		})}, 0},
+		{"crashes after the first event", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, CrashAfter: []clock.Millis{40}, Parts: usual}, 0},
 		{"no other requests", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 1, Parts: usual}, 0},
 		{"unrelated crashes", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, CrashInterval: 3_000, Wave: 4, WaveGap: 150, Parts: usual}, 0},
 		{"unrelated crashes and sessions", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, CrashInterval: 3_000, Wave: 4, WaveGap: 150, Parts: sessions}, 0},
--- a/lab/pkg/crashreplay/runner.go
+++ b/lab/pkg/crashreplay/runner.go
@@ -12,8 +12,6 @@
 	slots                     = 8
 	restartTime  clock.Millis = 3_200
 	firstEventAt clock.Millis = 55
-	// lateCrash is the time from the first event to the crash of a runner that has sent it before.
-	lateCrash clock.Millis = 40
 )
 
 type simRunner struct {
@@ -68,9 +66,10 @@
 	x.startedAt = f.now + 25 + f.draw(30)
 	delay := x.startedAt - f.now
 	if x.request.crashing {
-		if f.config.Parts.LateAnswer {
+		if times := f.config.CrashAfter; len(times) > 0 {
 			f.after(delay+firstEventAt, x.whileRunning(func() { x.firstEvent = f.now }))
-			f.after(delay+firstEventAt+lateCrash, x.whileRunning(func() { f.crashBy(x) }))
+			f.after(delay+firstEventAt+crashes.ConfirmedAnswer, x.whileRunning(func() { x.confirm() }))
+			f.after(delay+firstEventAt+times[f.random.IntN(len(times))], x.whileRunning(func() { f.crashBy(x) }))
 			return
 		}
 		f.after(delay+30+f.draw(75), x.whileRunning(func() { f.crashBy(x) }))
