Clear a part of prompts by whole answers only, and count every crash against it

Callers saw requests with one part of their prompts crash one runner after the other: an answer that had lasted for 0.12 s spoke for all parts of its prompt and removed the evidence of earlier crashes, and the crash that followed wasn't reported.

Each crash is now reported with all parts of its run, and only a complete answer clears a part. An answer that has begun still speaks for parts that were answered completely in the ten seconds before, and against the guess that a part crashes runners before they answer: so common parts stay as safe in waves of crashes as before. Crashes under answers that had begun count if their chance is small: with each moment once, or each request if the part was at every runner that crashed.

Evidence: "parts-suspect" was false in call-broke for each such crash.

Tests: answers are recorded by begin and end now; a harmless part of items is blamed after seven crashes instead of six in TestItemsWithPartBlamed..., whose check is the same; TestUnknownAnswers also expects the answers that have begun.

--- a/common/pkg/digest/crashes.go
+++ b/common/pkg/digest/crashes.go
@@ -16,7 +16,6 @@
 	"toucanhinge.example/common/pkg/crashes"
 	"toucanhinge.example/common/pkg/logs"
 	"toucanhinge.example/common/pkg/partcrashes"
-	"toucanhinge.example/common/pkg/prompt"
 )
 
 const (
@@ -48,13 +47,13 @@
 	machine *crashes.Machine
 	parts   *partcrashes.Machine
 	// heard holds the newest answer that another daemon announced for a suspected part.
-	heard  *simplelru.LRU[prompt.PartID, clock.Millis]
+	heard  *simplelru.LRU[heardAnswer, clock.Millis]
 	outbox crashUpdate
 	dirty  chan struct{}
 }
 
 func newCrashState(name string) *crashState {
-	heard, err := simplelru.NewLRU[prompt.PartID, clock.Millis](maxHeardAnswers, nil)
+	heard, err := simplelru.NewLRU[heardAnswer, clock.Millis](maxHeardAnswers, nil)
 	if err != nil {
 		panic(fmt.Sprintf("create the table of announced answers: %v", err))
 	}
--- a/common/pkg/digest/part_crashes.go
+++ b/common/pkg/digest/part_crashes.go
@@ -27,6 +27,12 @@
 	staleAnswer clock.Millis = 1_000
 )
 
+// heardAnswer identifies the answers that another daemon announced for a part.
+type heardAnswer struct {
+	part  prompt.PartID
+	whole bool
+}
+
 // partUpdate is the part of an update that concerns parts of prompts.
 type partUpdate struct {
 	reports []partReport
@@ -37,18 +43,28 @@
 // partReport is a report with the newest known answers to requests with its parts.
 type partReport struct {
 	partcrashes.Report
-	answers map[prompt.PartID]clock.Millis
+	answers []partcrashes.Answer
 }
 
 // withAnswers adds the newest known answers to a report. The caller holds the lock.
 func (s *crashState) withAnswers(r partcrashes.Report) partReport {
-	answers := map[prompt.PartID]clock.Millis{}
-	for _, part := range r.Parts {
-		if at := s.parts.LastAnswer(part); at > 0 {
-			answers[part] = at
+	return partReport{Report: r, answers: s.parts.KnownAnswers(r)}
+}
+
+// sightedPart encodes a part of a report.
+func (r partReport) sightedPart(part prompt.PartID, now clock.Millis) *toucanhingev1.SightedPart {
+	sighted := &toucanhingev1.SightedPart{Part: string(part)}
+	for _, a := range r.answers {
+		age := ageOf(now, a.At)
+		switch {
+		case a.Part != part:
+		case a.Whole:
+			sighted.AnsweredAgeMs = &age
+		default:
+			sighted.BegunAgeMs = &age
 		}
 	}
-	return partReport{Report: r, answers: answers}
+	return sighted
 }
 
 func (u partUpdate) addTo(m *toucanhingev1.CrashNews, now clock.Millis) {
@@ -57,17 +73,12 @@
 			Runner: r.Crash.Runner, BornMs: r.Crash.StartedAt, Content: r.Request[:], Unanswered: r.Unanswered, AgeMs: ageOf(now, r.At),
 		}
 		for _, part := range r.Parts {
-			sighted := &toucanhingev1.SightedPart{Part: string(part)}
-			if at, known := r.answers[part]; known {
-				age := ageOf(now, at)
-				sighted.AnsweredAgeMs = &age
-			}
-			entry.Parts = append(entry.Parts, sighted)
+			entry.Parts = append(entry.Parts, r.sightedPart(part, now))
 		}
 		m.PartSightings = append(m.PartSightings, entry)
 	}
 	for _, a := range u.answers {
-		m.PartAnswers = append(m.PartAnswers, &toucanhingev1.PartAnswer{Part: string(a.Part), AgeMs: ageOf(now, a.At)})
+		m.PartAnswers = append(m.PartAnswers, &toucanhingev1.PartAnswer{Part: string(a.Part), AgeMs: ageOf(now, a.At), Whole: a.Whole})
 	}
 	for _, t := range u.trials {
 		m.PartTrials = append(m.PartTrials, &toucanhingev1.PartTrial{Part: string(t.Part), AgeMs: ageOf(now, t.At)})
@@ -121,16 +132,30 @@
 	return verdict, true
 }
 
-// RecordAnswer records that a runner began at a time to answer a request with these parts and didn't crash.
+// RecordBegin records that a runner began at a time to answer a request with these parts and hasn't crashed shortly after.
+func (x *Exchange) RecordBegin(parts []prompt.PartID, at clock.Millis) {
+	x.crashState.mu.Lock()
+	defer x.crashState.mu.Unlock()
+	x.announceAnswers(x.crashState.parts.RecordBegin(parts, at))
+}
+
+// RecordAnswer records that a request with these parts was answered completely, from a time on.
 func (x *Exchange) RecordAnswer(parts []prompt.PartID, at clock.Millis) {
 	x.crashState.mu.Lock()
 	defer x.crashState.mu.Unlock()
 	needed := x.crashState.parts.RecordAnswer(parts, at)
-	if len(needed) == 0 {
+	if len(needed) > 0 {
+		level.Info(x.config.Logger).Log(logs.KeyEvent, "part-cleared", logs.KeyParts, parts)
+	}
+	x.announceAnswers(needed)
+}
+
+// announceAnswers queues answers for broadcast. The caller holds the lock.
+func (x *Exchange) announceAnswers(answers []partcrashes.Answer) {
+	if len(answers) == 0 {
 		return
 	}
-	level.Info(x.config.Logger).Log(logs.KeyEvent, "part-cleared", logs.KeyParts, parts)
-	x.crashState.outbox.parts.answers = append(x.crashState.outbox.parts.answers, needed...)
+	x.crashState.outbox.parts.answers = append(x.crashState.outbox.parts.answers, answers...)
 	x.crashState.wake()
 }
 
@@ -142,8 +167,8 @@
 		}
 	}
 	for _, entry := range message.GetPartAnswers() {
-		a := partcrashes.Answer{Part: prompt.PartID(entry.GetPart()), At: now - clock.Millis(entry.GetAgeMs())}
-		x.crashState.heard.Add(a.Part, a.At)
+		a := partcrashes.Answer{Part: prompt.PartID(entry.GetPart()), At: now - clock.Millis(entry.GetAgeMs()), Whole: entry.GetWhole()}
+		x.crashState.heard.Add(heardAnswer{a.Part, a.Whole}, a.At)
 		if x.crashState.parts.ApplyAnswer(a) {
 			level.Info(x.config.Logger).Log(logs.KeyEvent, "part-cleared", logs.KeyPart, a.Part)
 		}
@@ -158,19 +183,22 @@
 		Crash:   crashes.Crash{Runner: entry.GetRunner(), StartedAt: entry.GetBornMs()},
 		Request: request, Unanswered: entry.GetUnanswered(), At: now - clock.Millis(entry.GetAgeMs()),
 	}
-	reported := map[prompt.PartID]clock.Millis{}
+	var reported []partcrashes.Answer
 	for _, p := range entry.GetParts() {
 		part := prompt.PartID(p.GetPart())
 		report.Parts = append(report.Parts, part)
 		if p.AnsweredAgeMs != nil {
-			reported[part] = now - clock.Millis(p.GetAnsweredAgeMs())
+			reported = append(reported, partcrashes.Answer{Part: part, At: now - clock.Millis(p.GetAnsweredAgeMs()), Whole: true})
+		}
+		if p.BegunAgeMs != nil {
+			reported = append(reported, partcrashes.Answer{Part: part, At: now - clock.Millis(p.GetBegunAgeMs())})
 		}
 	}
 	for _, a := range x.crashState.parts.UnknownAnswers(report, reported) {
 		x.announceLater(a)
 	}
-	for part, at := range reported {
-		x.crashState.parts.ApplyAnswer(partcrashes.Answer{Part: part, At: at})
+	for _, a := range reported {
+		x.crashState.parts.ApplyAnswer(a)
 	}
 	x.crashState.parts.AddReport(now, report)
 }
@@ -181,7 +209,7 @@
 	time.AfterFunc(time.Duration(rand.Float64()*float64(spread)), func() {
 		x.crashState.mu.Lock()
 		defer x.crashState.mu.Unlock()
-		if heardAt, heard := x.crashState.heard.Peek(a.Part); heard && a.At-heardAt < staleAnswer {
+		if heardAt, heard := x.crashState.heard.Peek(heardAnswer{a.Part, a.Whole}); heard && a.At-heardAt < staleAnswer {
 			return
 		}
 		x.crashState.outbox.parts.answers = append(x.crashState.outbox.parts.answers, a)
--- a/common/pkg/digest/part_crashes_bench_test.go
+++ b/common/pkg/digest/part_crashes_bench_test.go
@@ -24,10 +24,10 @@
 			for n := range calls {
 				request := crashes.FingerprintOf("POST", "team", fmt.Sprint(n), nil)
 				parts := []prompt.PartID{"32a43aed6c9e", prompt.PartID(fmt.Sprintf("%012x", n))}
-				update.reports = append(update.reports, crashes.Report{Crash: crash, Fingerprint: request, Phase: crashes.BeforeFirstEvent, At: now - 5})
+				update.reports = append(update.reports, crashes.Report{Crash: crash, Fingerprint: request, Phase: crashes.BeforeFirstEvent, Ran: 150, At: now - 5})
 				update.parts.reports = append(update.parts.reports, partReport{
 					Report:  partcrashes.Report{Crash: crash, Request: request, Parts: parts, Unanswered: true, At: now - 5},
-					answers: map[prompt.PartID]clock.Millis{parts[0]: now - 300},
+					answers: []partcrashes.Answer{{Part: parts[0], At: now - 300, Whole: true}, {Part: parts[0], At: now - 40}},
 				})
 			}
 			for b.Loop() {
--- a/common/pkg/digest/part_crashes_test.go
+++ b/common/pkg/digest/part_crashes_test.go
@@ -26,6 +26,7 @@
 	daemons := slices.Clone(f.daemons)
 	answer := func() {
 		for _, x := range daemons {
+			x.RecordBegin([]prompt.PartID{"caller", "topic"}, x.config.Clock.Now())
 			x.RecordAnswer([]prompt.PartID{"caller", "topic"}, x.config.Clock.Now())
 		}
 	}
--- a/common/pkg/partcrashes/evidence.go
+++ b/common/pkg/partcrashes/evidence.go
@@ -1,6 +1,7 @@
 package partcrashes
 
 import (
+	"math"
 	"slices"
 
 	"toucanhinge.example/common/pkg/clock"
@@ -19,14 +20,16 @@
 	// maxChance is the maximum probability that all these runs ended in crashes if the part is harmless. While runners
 	// crash often for other reasons, it takes more crashes.
 	maxChance = 1e-5
+	// maxBegunChance is this probability if answers had begun: runs that last long meet crashes more often.
+	maxBegunChance = 1e-6
 	// sufficientMany crashes are sufficient with maxManyChance: a part that crashes runners must be found soon even if
 	// they crash often for other reasons.
 	sufficientMany = 8
 	maxManyChance  = 1e-4
 	// sufficientTied crashes are sufficient although another suspect shares all of them: the two parts never come apart.
 	sufficientTied = 5
-	// minEarly crashes are sufficient if answers had begun shortly before some of them.
-	minEarly = 6
+	// minBegun crashes are sufficient if answers had begun before some of them.
+	minBegun = 7
 	// sufficientAlone crashes are needed if no other request was answered since the first of them: then all requests
 	// may crash runners, whatever their parts.
 	sufficientAlone = 6
@@ -58,40 +61,43 @@
 // evidence counts the crashes of a suspect since the newest answer to a request with it. Crashes that a quarantined
 // part explains don't count.
 type evidence struct {
-	// all counts the crashes, unanswered those with an unanswered run.
-	all, unanswered int
+	// all counts the crashes, unbegun those with an unanswered run since which no answer has begun.
+	all, unbegun int
 	// requests counts the different requests of the runs, moments the different moments of the crashes.
 	requests int
 	moments  int
 	// first and newest are the times of the first and the newest crash.
 	first, newest clock.Millis
-	// recent is set if a request with the part was answered shortly before the first crash.
-	recent bool
-	// contrast is set if another request was answered since the first crash.
+	// recent is set if a request with the part was answered shortly before the first crash, recentBegin if an answer has
+	// begun shortly before the first unbegun one.
+	recent, recentBegin bool
+	// contrast is set if a request without the part was answered since the first crash.
 	contrast bool
-	// own is set if a run of the newest crash was this daemon's, ownRuns counts the crashes with such runs.
-	own     bool
-	ownRuns int
+	// beside counts the crashes between the first and the newest one without the part.
+	beside int
+	// own is set if a run of the newest crash was this daemon's, ownCrashes counts the crashes with such runs, and ownRuns
+	// all runs of this daemon that ended in them, with the part or not.
+	own                 bool
+	ownCrashes, ownRuns int
 }
 
-// sufficient reports whether the evidence justifies a quarantine. crashRate is the probability that a run of another
-// request ends in a crash.
-func (e evidence) sufficient(crashRate float64) bool {
+// sufficient reports whether the evidence justifies a quarantine.
+func (e evidence) sufficient(r rates) bool {
 	switch {
 	case e.requests < minRequests || e.moments < minMoments:
 		return false
 	case e.recent:
-		return e.moments >= minMomentsRecent && e.requests >= sufficientRequests && e.all >= sufficientRecent && chance(crashRate, e.all) <= maxChance*maxChance
+		return e.moments >= minMomentsRecent && e.requests >= sufficientRequests && e.all >= sufficientRecent && chance(r.any, e.all) <= maxChance*maxChance
 	case !e.contrast:
-		return e.moments >= minMomentsAlone && e.all >= sufficientAlone
+		return e.moments >= minMomentsAlone && e.unbegun >= sufficientAlone
 	default:
-		return e.sufficientUnanswered(crashRate) || e.sufficientEarly(crashRate)
+		return e.sufficientUnanswered(r.unanswered) || e.sufficientBegun(r.any)
 	}
 }
 
 // isBlamed reports whether the evidence against a suspect justifies a quarantine. The crashes must be known to all, and
 // so must the answers that began after them if the part was answered shortly before or nothing else is answered.
-func (m *Machine) isBlamed(now clock.Millis, s *suspect, e evidence, crashRate float64) bool {
+func (m *Machine) isBlamed(now clock.Millis, s *suspect, e evidence, crashRate rates) bool {
 	until := now
 	if e.recent || !e.contrast {
 		until = now - settleDelay
@@ -100,18 +106,33 @@
 	return e.sufficient(crashRate) && e.newest+propagationDelay <= now && m.leads(s, e, until)
 }
 
-// sufficientUnanswered reports whether the crashes under unanswered runs are sufficient.
+// sufficientUnanswered reports whether the crashes under unanswered runs are sufficient. An answer that has begun since, or
+// shortly before, shows that the part doesn't crash all runners before they answer.
 func (e evidence) sufficientUnanswered(crashRate float64) bool {
-	if e.unanswered < minCrashes || e.requests < sufficientRequests && e.unanswered < sufficientCrashes {
+	if e.recentBegin || e.unbegun < minCrashes || e.requests < sufficientRequests && e.unbegun < sufficientCrashes {
 		return false
 	}
-	c := chance(crashRate, e.unanswered)
-	return c <= maxChance || e.unanswered >= sufficientMany && c <= maxManyChance
+	// A request that is retried at once may meet two crashes of one wave.
+	c := chance(crashRate, min(e.unbegun, max(e.requests, e.unbegun-1)))
+	return c <= maxChance || e.unbegun >= sufficientMany && c <= maxManyChance
 }
 
-// sufficientEarly reports whether the crashes are sufficient although some answers had begun shortly before.
-func (e evidence) sufficientEarly(crashRate float64) bool {
-	return e.requests >= sufficientRequests && e.all >= minEarly && chance(crashRate, e.all) <= maxChance
+// sufficientBegun reports whether the crashes are sufficient although some answers had begun before.
+func (e evidence) sufficientBegun(crashRate float64) bool {
+	if e.requests < sufficientRequests || e.all < minBegun {
+		return false
+	}
+	c := chance(crashRate, e.independent())
+	return c <= maxBegunChance || e.independent() >= sufficientMany && c <= maxChance
+}
+
+// independent returns the number of crashes that count. Long runs meet unrelated crashes often, and several of one wave, so
+// each moment counts once. If the part was at every runner that crashed, each request does.
+func (e evidence) independent() int {
+	if e.beside > 0 {
+		return e.moments
+	}
+	return max(e.moments, min(e.all, e.requests))
 }
 
 // evidence counts the crashes up to a time.
@@ -119,6 +140,7 @@
 	e := evidence{}
 	requests := map[crashes.Fingerprint]bool{}
 	var times []clock.Millis
+	firstUnbegun := clock.Millis(math.MaxInt64)
 	for id, found := range s.sightings {
 		c := m.crashes[id]
 		if c.cause != "" || c.at > until {
@@ -126,12 +148,14 @@
 		}
 		e.all++
 		times = append(times, c.at)
-		if found.unanswered {
-			e.unanswered++
+		if found.unanswered && c.at > s.begunAt {
+			e.unbegun++
+			firstUnbegun = min(firstUnbegun, c.at)
 		}
 		if found.own {
-			e.ownRuns++
+			e.ownCrashes++
 		}
+		e.ownRuns += c.ownRuns
 		if e.first == 0 || c.at < e.first {
 			e.first = c.at
 		}
@@ -143,11 +167,23 @@
 		}
 	}
 	e.requests, e.moments = len(requests), countMoments(times)
+	e.beside = m.countBeside(s, e)
 	e.recent = e.all > 0 && s.answeredAt > 0 && e.first-s.answeredAt < recentAnswer
-	e.contrast = m.newestAnswer > e.first
+	e.recentBegin = e.unbegun > 0 && s.begunAt > 0 && firstUnbegun-s.begunAt < recentAnswer
+	e.contrast = max(s.otherAt, m.elsewhereAt(s)) > e.first
 	return e
 }
 
+// countBeside counts the crashes between the first and the newest one of a suspect without it.
+func (m *Machine) countBeside(s *suspect, e evidence) (count int) {
+	for id, c := range m.crashes {
+		if s.sightings[id] == nil && c.cause == "" && c.at >= e.first-momentSpan && c.at <= e.newest {
+			count++
+		}
+	}
+	return count
+}
+
 // countMoments counts the moments of some times.
 func countMoments(times []clock.Millis) (count int) {
 	slices.Sort(times)
--- a/common/pkg/partcrashes/machine.go
+++ b/common/pkg/partcrashes/machine.go
@@ -17,18 +17,20 @@
 }
 
 // Machine decides from reports of crashes and from answers which parts of prompts to quarantine. A part that crashes
-// runners is in the prompt of an unanswered run of each of its crashes, and no run with it is ever answered. The parts
+// runners is in the prompt of a run of each of its crashes, and no run with it is ever answered completely. The parts
 // of other requests meet crashes too, but runs with them are answered in between. Machine holds no goroutine, socket or
 // clock.
 type Machine struct {
 	config   Config
 	suspects map[prompt.PartID]*suspect
 	crashes  map[crashes.Crash]*crash
-	// answers holds the newest known answer for the most recently answered parts.
+	// answers holds when the newest known complete answer began for the most recently answered parts, begins the same for
+	// answers that may not be complete.
 	answers  *simplelru.LRU[prompt.PartID, clock.Millis]
+	begins   *simplelru.LRU[prompt.PartID, clock.Millis]
 	outcomes outcomes
-	// newestAnswer is the time of the newest answer to any request.
-	newestAnswer clock.Millis
+	// newestAnnounced is when the newest answer began that this or another daemon knows.
+	newestAnnounced clock.Millis
 	// newQuarantines holds the quarantines that this machine imposed and PopNewQuarantines hasn't returned yet.
 	newQuarantines []crashes.Quarantine
 }
@@ -37,8 +39,11 @@
 type suspect struct {
 	part      prompt.PartID
 	sightings map[crashes.Crash]*sighting
-	// answeredAt is the newest known answer to a request with the part, 0 if none is known.
-	answeredAt clock.Millis
+	// answeredAt is when the newest known complete answer to a request with the part began, 0 if none is known. begunAt is
+	// when the newest answer began that may not be complete.
+	answeredAt, begunAt clock.Millis
+	// otherAt is when the newest answer to a request of this daemon without the part began.
+	otherAt clock.Millis
 	// trialUntil is the time until which the result of a trial is awaited.
 	trialUntil clock.Millis
 	updatedAt  clock.Millis
@@ -58,19 +63,26 @@
 type crash struct {
 	at       clock.Millis
 	suspects map[prompt.PartID]bool
-	// ownUnanswered counts the unanswered runs of this daemon.
-	ownUnanswered int
+	// ownRuns counts the runs of this daemon, ownUnanswered those that were unanswered.
+	ownRuns, ownUnanswered int
 	// cause is the quarantined part that explains the crash, empty if there is none.
 	cause prompt.PartID
 }
 
 // New returns a machine without suspects.
 func New(config Config) *Machine {
-	answers, err := simplelru.NewLRU[prompt.PartID, clock.Millis](maxAnswers, nil)
+	return &Machine{
+		config: config, suspects: map[prompt.PartID]*suspect{}, crashes: map[crashes.Crash]*crash{}, answers: newTimes(), begins: newTimes(),
+	}
+}
+
+// newTimes returns an empty table of the times of answers.
+func newTimes() *simplelru.LRU[prompt.PartID, clock.Millis] {
+	times, err := simplelru.NewLRU[prompt.PartID, clock.Millis](maxAnswers, nil)
 	if err != nil {
 		panic(fmt.Sprintf("create the table of answers: %v", err))
 	}
-	return &Machine{config: config, suspects: map[prompt.PartID]*suspect{}, crashes: map[crashes.Crash]*crash{}, answers: answers}
+	return times
 }
 
 // Empty reports whether no part is suspected or quarantined.
@@ -83,9 +95,12 @@
 		return
 	}
 	c := m.crash(now, r)
-	if r.Own && r.Unanswered {
-		m.outcomes.record(r.At, true)
-		c.ownUnanswered++
+	if r.Own {
+		m.outcomes.recordCrash(r.At, r.Unanswered)
+		c.ownRuns++
+		if r.Unanswered {
+			c.ownUnanswered++
+		}
 	}
 	for _, part := range r.Parts {
 		if m.LastAnswer(part) < r.At {
@@ -125,7 +140,7 @@
 	case c.at < s.quarantine.Until:
 		c.cause = s.part
 	default:
-		m.setQuarantine(s, nextQuarantine(now, s, m.newestAnswer > s.quarantine.Since))
+		m.setQuarantine(s, nextQuarantine(now, s, s.otherAt > s.quarantine.Since))
 		if own {
 			// The other daemons that receive the report need not announce the same quarantine.
 			m.newQuarantines = append(m.newQuarantines, s.quarantine)
@@ -149,7 +164,7 @@
 	s := m.suspects[part]
 	if s == nil {
 		m.evictSuspect()
-		s = &suspect{part: part, sightings: map[crashes.Crash]*sighting{}, answeredAt: m.LastAnswer(part), updatedAt: now}
+		s = &suspect{part: part, sightings: map[crashes.Crash]*sighting{}, answeredAt: m.LastAnswer(part), begunAt: m.LastBegin(part), updatedAt: now}
 		m.suspects[part] = s
 	}
 	return s
@@ -207,7 +222,7 @@
 		return m.evaluateQuarantined(now, s, c)
 	}
 	e := m.evidence(s, now)
-	crashRate := max(m.outcomes.crashRate(now, e.ownRuns), m.rateBeside(s, e))
+	crashRate := m.crashRates(now, s, e)
 	if m.isBlamed(now, s, e, crashRate) {
 		m.setQuarantine(s, nextQuarantine(now, s, e.contrast))
 		m.newQuarantines = append(m.newQuarantines, s.quarantine)
--- a/common/pkg/partcrashes/machine_test.go
+++ b/common/pkg/partcrashes/machine_test.go
@@ -38,6 +38,7 @@
 
 func (f *fixture) answer(parts ...prompt.PartID) {
 	f.now += 20
+	f.RecordBegin(parts, f.now)
 	f.RecordAnswer(parts, f.now)
 }
 
@@ -284,7 +285,8 @@
 	m.ApplyQuarantine(start, q)
 	verdict, _ = m.Evaluate(start, []prompt.PartID{bad}, false)
 	require.Equal(t, start+crashes.MaxQuarantine, verdict.Until, "a quarantine for years results from a faulty clock or peer")
-	require.True(t, m.ApplyAnswer(Answer{Part: bad, At: start}))
+	require.False(t, m.ApplyAnswer(Answer{Part: bad, At: start}), "an answer that has begun shows nothing yet")
+	require.True(t, m.ApplyAnswer(Answer{Part: bad, At: start, Whole: true}))
 	require.False(t, m.ApplyQuarantine(start, q), "the answer is newer")
 	require.True(t, m.Empty())
 }
@@ -297,7 +299,7 @@
 		f.crash(request, caller, bad)
 	}
 	require.Equal(t, crashes.Quarantined, f.status(caller, bad))
-	f.ApplyAnswer(Answer{Part: bad, At: before})
+	f.ApplyAnswer(Answer{Part: bad, At: before, Whole: true})
 	require.Equal(t, crashes.Quarantined, f.status(caller, bad))
 }
 
@@ -305,9 +307,14 @@
 	f := newFixture()
 	known := f.LastAnswer(caller)
 	report := f.report("r", "a", caller, bad)
-	require.Equal(t, []Answer{{Part: caller, At: known}}, f.UnknownAnswers(report, nil), "the sender knows of no answer")
-	require.Empty(t, f.UnknownAnswers(report, map[prompt.PartID]clock.Millis{caller: known - 100}), "the sender's is nearly as new")
-	require.Len(t, f.UnknownAnswers(report, map[prompt.PartID]clock.Millis{caller: known - recentAnswer}), 1)
+	both := []Answer{{Part: caller, At: known, Whole: true}, {Part: caller, At: known}}
+	require.Equal(t, both, f.UnknownAnswers(report, nil), "the sender knows of no answer")
+	older := func(age clock.Millis) []Answer {
+		return []Answer{{Part: caller, At: known - age, Whole: true}, {Part: caller, At: known - age}}
+	}
+	require.Empty(t, f.UnknownAnswers(report, older(100)), "the sender's are nearly as new")
+	require.Equal(t, both, f.UnknownAnswers(report, older(recentAnswer)))
+	require.Equal(t, both[:1], f.UnknownAnswers(report, older(100)[1:]), "the sender knows that one has begun")
 	report.At += recentAnswer + 100
 	require.Empty(t, f.UnknownAnswers(report, nil), "an old answer says nothing")
 }
--- a/common/pkg/partcrashes/report.go
+++ b/common/pkg/partcrashes/report.go
@@ -15,7 +15,7 @@
 	Request crashes.Fingerprint
 	// Parts are the parts of its prompt that other requests may share.
 	Parts []prompt.PartID
-	// Unanswered is set if nothing of the answer had arrived. Otherwise the answer had begun shortly before.
+	// Unanswered is set if nothing of the answer had arrived. Otherwise the answer had begun.
 	Unanswered bool
 	// At is the time of the crash.
 	At clock.Millis
@@ -23,12 +23,14 @@
 	Own bool
 }
 
-// Answer records that a runner answered a request with a part and didn't crash: the part isn't the cause of a crash
-// before that time.
+// Answer records that a runner answers a request with a part and hasn't crashed. A whole answer shows that the part isn't
+// the cause of a crash before it began. One that has only begun doesn't: the runner may crash later.
 type Answer struct {
 	Part prompt.PartID
 	// At is when the answer began.
 	At clock.Millis
+	// Whole is set if the answer is complete.
+	Whole bool
 }
 
 // Trial records that a daemon sends a single request with a suspected part to a runner.
--- a/common/pkg/partcrashes/trial.go
+++ b/common/pkg/partcrashes/trial.go
@@ -14,6 +14,8 @@
 const (
 	// minDelayedCrashes is the number of crashes from which on requests with the part are delayed.
 	minDelayedCrashes = 2
+	// minDelayedMoments is the number of moments with crashes from which on they are delayed although answers had begun.
+	minDelayedMoments = 3
 	// minDelayedRecent is this number for a part that was answered shortly before.
 	minDelayedRecent = 6
 	// maxDelayedChance is the maximum probability that all these runs ended in crashes if the part is harmless. While
@@ -34,7 +36,7 @@
 )
 
 // needsTrial reports whether requests with the part run one at a time. e is the evidence against it.
-func (m *Machine) needsTrial(now clock.Millis, s *suspect, e evidence, crashRate float64) bool {
+func (m *Machine) needsTrial(now clock.Millis, s *suspect, e evidence, crashRate rates) bool {
 	switch {
 	case s.quarantine.Count > 0:
 		// The quarantine has ended. Whether the part still crashes runners is to be found out by one request.
@@ -44,9 +46,10 @@
 	case e.recent:
 		settled := now - settleDelay
 		e = m.evidence(s, settled)
-		return e.requests >= minRequests && e.all >= minDelayedRecent && m.leads(s, e, settled)
+		return e.requests >= minRequests && e.unbegun >= minDelayedRecent && m.leads(s, e, settled)
 	default:
-		return e.unanswered >= minDelayedCrashes && chance(crashRate, e.unanswered) <= maxDelayedChance
+		return e.unbegun >= minDelayedCrashes && !e.recentBegin && chance(crashRate.unanswered, e.unbegun) <= maxDelayedChance ||
+			e.moments >= minDelayedMoments && e.all >= minBegun && e.contrast && chance(crashRate.any, e.independent()) <= maxDelayedChance
 	}
 }
 
--- a/control/pkg/batchrun/crash_report.go
+++ b/control/pkg/batchrun/crash_report.go
@@ -50,16 +50,16 @@
 	}
 }
 
-// recordAnswer records that the runner answers the item and didn't crash when it began. A runner that crashes may
-// have sent an event shortly before.
-func (r *run) recordAnswer() {
+// recordBegin records that the runner answers the item and didn't crash when it began. A runner that crashes may have sent
+// events before.
+func (r *run) recordBegin() {
 	now := r.driver.config.Clock.Now()
 	if r.firstEventAt == 0 {
 		r.firstEventAt = now
 	}
-	if !r.answered && now-r.firstEventAt >= crashes.ConfirmedAnswer {
-		r.answered = true
-		r.driver.config.Exchange.RecordAnswer(r.parts, r.firstEventAt)
+	if !r.begun && now-r.firstEventAt >= crashes.ConfirmedAnswer {
+		r.begun = true
+		r.driver.config.Exchange.RecordBegin(r.parts, r.firstEventAt)
 	}
 }
 
@@ -83,18 +83,16 @@
 		// slots, so the item has run since the call was sent.
 		running = elapsed
 	}
-	r.ranLong = r.answered || running >= longRun
+	r.ranLong = r.begun || running >= longRun
 	level.Info(config.Logger).Log(logs.KeyEvent, logs.EventRunnerCrashed, logs.KeyJob, r.key.Job, "index", r.key.Index,
 		logs.KeyItem, call.Request, logs.KeyFingerprint, fingerprintOf(call), "runner", call.Runner.GetId(), "running-ms", running,
 		logs.KeyParts, r.parts)
 	// The crash counts among those that requests meet by chance; the item isn't its cause.
 	crash, at := crashes.CrashOf(call.Runner), config.Clock.Now()
 	config.Exchange.ReportCrash(crashes.Report{Crash: crash, Fingerprint: fingerprintOf(call), At: at})
-	if !r.answered {
-		config.Exchange.ReportPartCrash(partcrashes.Report{
-			Crash: crash, Request: fingerprintOf(call), Parts: r.parts, Unanswered: r.firstEventAt == 0, At: at,
-		})
-	}
+	config.Exchange.ReportPartCrash(partcrashes.Report{
+		Crash: crash, Request: fingerprintOf(call), Parts: r.parts, Unanswered: r.firstEventAt == 0, At: at,
+	})
 	if r.ranLong {
 		return broken
 	}
@@ -103,9 +101,14 @@
 
 // recordCompletion records that the runner answered the item completely.
 func (r *run) recordCompletion() {
-	if !r.answered {
-		r.driver.config.Exchange.RecordAnswer(r.parts, r.driver.config.Clock.Now())
+	x, beganAt := r.driver.config.Exchange, r.firstEventAt
+	if beganAt == 0 {
+		beganAt = r.driver.config.Clock.Now()
+	}
+	if !r.begun {
+		x.RecordBegin(r.parts, beganAt)
 	}
+	x.RecordAnswer(r.parts, beganAt)
 }
 
 func fingerprintOf(call runner.Call) crashes.Fingerprint {
--- a/control/pkg/batchrun/outcome.go
+++ b/control/pkg/batchrun/outcome.go
@@ -24,7 +24,7 @@
 		d.handleStaleOutcome(ctx, o)
 		return
 	}
-	if o.run.answered || o.run.ranLong {
+	if o.run.begun || o.run.ranLong {
 		d.machine.Progressed(key)
 	}
 	switch o.kind {
--- a/control/pkg/batchrun/part_crash_test.go
+++ b/control/pkg/batchrun/part_crash_test.go
@@ -81,7 +81,7 @@
 // Guards against items that are never placed again because a sound part of their prompts, which only they share, was
 // blamed for a burst of unrelated crashes.
 func TestItemsWithPartBlamedForUnrelatedCrashesAreStillOwed(t *testing.T) {
-	const items, crashing = 12, 6
+	const items, crashing = 12, 7
 	var crashed atomic.Int32
 	f := start(t, func(_ int, call runner.Call) (*runner.Answer, error) {
 		if call.Header.Get(partHeader) == "rare" && crashed.Add(1) <= crashing {
--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -106,9 +106,9 @@
 	kind outcomeKind
 	// parts are the parts of the item's prompt that other requests may share.
 	parts []prompt.PartID
-	// firstEventAt is when the first event arrived, 0 before. answered is set once the runner didn't crash by it.
+	// firstEventAt is when the first event arrived, 0 before. begun is set once the runner didn't crash shortly after.
 	firstEventAt clock.Millis
-	answered     bool
+	begun        bool
 	// ranLong is set if the runner crashed long after the item had begun to run.
 	ranLong bool
 
@@ -270,7 +270,7 @@
 			return broken, err
 		}
 		onEvent()
-		r.recordAnswer()
+		r.recordBegin()
 		err = r.progress.add(event, r.target.GetVersion())
 		if errors.Is(err, errTextTooLong) {
 			// Where the sound part of the text ends isn't known.
--- a/gateway/pkg/forward/crash.go
+++ b/gateway/pkg/forward/crash.go
@@ -81,8 +81,7 @@
 	request string
 	runs    int
 	report  crashes.Report
-	// parts is the report on the parts of the prompt. It has none if an answer speaks for them.
-	parts partcrashes.Report
+	parts   partcrashes.Report
 	// running is how long events had come, -1 for none.
 	running clock.Millis
 }
@@ -101,7 +100,7 @@
 	e.server.metrics.broken.WithLabelValues(string(presence)).Inc()
 	level.Info(e.server.config.Logger).Log(logs.KeyEvent, logs.EventCallBroke, logs.KeyRequest, e.request.ID, "runner", r.GetId(),
 		"presence", presence, "running-ms", call.running, "sent-ms", call.report.Ran,
-		"parts-suspect", len(call.parts.Parts) > 0, logs.KeyError, err)
+		logs.KeyParts, e.request.SharedParts, logs.KeyError, err)
 	switch presence {
 	case runner.Gone:
 		e.server.reportCrash(call)
@@ -121,9 +120,8 @@
 	if e.route.Streams() && e.callFirstEventAt == 0 {
 		call.report.Phase = crashes.BeforeFirstEvent
 	}
-	call.parts = partcrashes.Report{Crash: crash, Request: e.requestFingerprint(), Unanswered: e.callFirstEventAt == 0, At: now}
-	if !e.answered {
-		call.parts.Parts = e.request.SharedParts
+	call.parts = partcrashes.Report{
+		Crash: crash, Request: e.requestFingerprint(), Parts: e.request.SharedParts, Unanswered: e.callFirstEventAt == 0, At: now,
 	}
 	return call
 }
@@ -157,25 +155,34 @@
 	s.config.Exchange.ReportPartCrash(call.parts)
 }
 
-// recordAnswer records that the runner answers the request and didn't crash when it began. A runner that crashes may
-// have sent an event shortly before.
-func (e *exchange) recordAnswer() {
-	if e.answered || e.now()-e.callFirstEventAt < crashes.ConfirmedAnswer {
+// recordBegin records that the runner answers the request and didn't crash when it began. A runner that crashes may have sent
+// events before.
+func (e *exchange) recordBegin() {
+	if e.begun || e.now()-e.callFirstEventAt < crashes.ConfirmedAnswer {
 		return
 	}
-	e.answered = true
-	e.server.config.Exchange.RecordAnswer(e.request.SharedParts, e.callFirstEventAt)
+	e.begun = true
+	e.server.config.Exchange.RecordBegin(e.request.SharedParts, e.callFirstEventAt)
 }
 
 // recordSuccess records that the request was answered completely.
 func (e *exchange) recordSuccess(answer *runner.Answer) {
-	if e.server.config.Exchange.HasSuspects() {
+	x := e.server.config.Exchange
+	if x.HasSuspects() {
 		e.server.clearSuspicion(e.requestFingerprint())
 	}
-	if !e.answered && answer.Status == http.StatusOK {
-		e.answered = true
-		e.server.config.Exchange.RecordAnswer(e.request.SharedParts, e.now())
+	if answer.Status != http.StatusOK {
+		return
+	}
+	beganAt := e.now()
+	if e.callFirstEventAt > 0 {
+		beganAt = e.callFirstEventAt
+	}
+	if !e.begun {
+		e.begun = true
+		x.RecordBegin(e.request.SharedParts, beganAt)
 	}
+	x.RecordAnswer(e.request.SharedParts, beganAt)
 }
 
 // clearSuspicion clears the suspicion of a request that ran without crashing its runner.
--- a/gateway/pkg/forward/exchange.go
+++ b/gateway/pkg/forward/exchange.go
@@ -93,9 +93,9 @@
 	fingerprint *crashes.Fingerprint
 	// trial is set if the request is the only one with a suspected part of its prompt that may run now.
 	trial bool
-	// answered is set once the answer of the current call has begun and its runner didn't crash.
-	answered bool
-	queued   bool
+	// begun is set once the answer of the current call has begun and its runner didn't crash shortly after.
+	begun  bool
+	queued bool
 	// leaveQueue takes the request out of the wait queue. It has no effect if the request doesn't wait.
 	leaveQueue func()
 	// turn is what the request found when it last looked for a slot as a waiter.
@@ -206,7 +206,7 @@
 	// Only now the next waiters see that the slot is taken.
 	e.leaveQueue()
 	startedAt := e.now()
-	e.callFirstEventAt, e.callEvents, e.answered = 0, 0, false
+	e.callFirstEventAt, e.callEvents, e.begun = 0, 0, false
 	timer := e.startEventTimer(cancel)
 	defer timer.stop()
 	var watch *digest.Watch
--- a/gateway/pkg/forward/stream.go
+++ b/gateway/pkg/forward/stream.go
@@ -86,7 +86,7 @@
 			return fmt.Errorf("%w: %w", errCallerLeft, err)
 		}
 		e.recordOrigin()
-		e.recordAnswer()
+		e.recordBegin()
 	}
 }
 
--- a/lab/pkg/crashreplay/gateway.go
+++ b/lab/pkg/crashreplay/gateway.go
@@ -72,14 +72,24 @@
 	g.broadcast(func(o *gateway) { o.requests.Clear(g.fleet.now, clearance) })
 }
 
+func (g *gateway) recordBegin(parts []prompt.PartID, at clock.Millis) {
+	g.broadcastAnswers(g.parts.RecordBegin(parts, at))
+}
+
 func (g *gateway) recordAnswer(parts []prompt.PartID, at clock.Millis) {
-	for _, a := range g.parts.RecordAnswer(parts, at) {
-		g.broadcastAnswer(a)
-	}
+	g.broadcastAnswers(g.parts.RecordAnswer(parts, at))
 }
 
-func (g *gateway) broadcastAnswer(a partcrashes.Answer) {
-	g.broadcast(func(o *gateway) { o.parts.ApplyAnswer(a) })
+// broadcastAnswers sends answers in one datagram.
+func (g *gateway) broadcastAnswers(list []partcrashes.Answer) {
+	if len(list) == 0 {
+		return
+	}
+	g.broadcast(func(o *gateway) {
+		for _, a := range list {
+			o.parts.ApplyAnswer(a)
+		}
+	})
 }
 
 // reportCrash reports a run that ended with a crash. streamed is the time since its first event, negative for none.
@@ -91,7 +101,7 @@
 	}
 	g.requests.AddReport(f.now, report)
 	g.broadcast(func(o *gateway) { o.requests.AddReport(f.now, report) })
-	if !x.answered && len(q.parts) > 0 {
+	if len(q.parts) > 0 {
 		g.reportParts(partcrashes.Report{Crash: crash, Request: q.fingerprint, Parts: q.parts, Unanswered: streamed < 0, At: f.now, Own: true})
 	}
 	g.broadcastQuarantines()
@@ -99,20 +109,14 @@
 
 // reportParts reports the parts of a run that ended with a crash, with the newest known answers to requests with them.
 func (g *gateway) reportParts(report partcrashes.Report) {
-	known := map[prompt.PartID]clock.Millis{}
-	for _, part := range report.Parts {
-		if at := g.parts.LastAnswer(part); at > 0 {
-			known[part] = at
-		}
-	}
+	known := g.parts.KnownAnswers(report)
 	g.parts.AddReport(g.fleet.now, report)
 	report.Own = false
 	g.broadcast(func(o *gateway) {
-		for _, a := range o.parts.UnknownAnswers(report, known) {
-			g.fleet.after(3, func() { o.broadcastAnswer(a) })
-		}
-		for part, at := range known {
-			o.parts.ApplyAnswer(partcrashes.Answer{Part: part, At: at})
+		unknown := o.parts.UnknownAnswers(report, known)
+		g.fleet.after(3, func() { o.broadcastAnswers(unknown) })
+		for _, a := range known {
+			o.parts.ApplyAnswer(a)
 		}
 		o.parts.AddReport(g.fleet.now, report)
 	})
--- a/lab/pkg/crashreplay/parts_test.go
+++ b/lab/pkg/crashreplay/parts_test.go
@@ -10,6 +10,9 @@
 	"toucanhinge.example/common/pkg/prompt"
 )
 
+// anyTime are times from the first event of an answer until its runner crashes, soon or late.
+var anyTime = []clock.Millis{20, 160, 540, 1_300}
+
 const (
 	// knownCrashes is the number of crashes after which all gateways must know a part within noticeLimit, and
 	// maxLateRuns the number of requests with it that may reach runners later.
@@ -125,6 +128,13 @@
 			p.Paired = true
 		})}, 0},
 		{"crashes after the first event", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, CrashAfter: []clock.Millis{40}, Parts: usual}, 0},
+		{"crashes soon after the first event", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, CrashAfter: []clock.Millis{160}, Parts: usual}, 0},
+		{"late crashes", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, CrashAfter: []clock.Millis{540}, Parts: usual}, 0},
+		{"crashes at any time", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, CrashAfter: anyTime, Parts: usual}, 0},
+		{"few requests that crash at any time", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, CrashAfter: anyTime, Parts: with(func(p *Parts) {
+			p.CrashingPerSecond, p.CrashingSpan = .4, 40_000
+		})}, 0},
+		{"crashes at any time among 54 runners", Config{Gateways: 27, Runners: 54, RequestsPerSecond: 280, Loss: .05, CrashAfter: anyTime, Parts: usual}, 0},
 		{"no other requests", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 1, Parts: usual}, 0},
 		{"unrelated crashes", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, CrashInterval: 3_000, Wave: 4, WaveGap: 150, Parts: usual}, 0},
 		{"unrelated crashes and sessions", Config{Gateways: 8, Runners: 12, RequestsPerSecond: 50, CrashInterval: 3_000, Wave: 4, WaveGap: 150, Parts: sessions}, 0},
--- a/lab/pkg/crashreplay/requests_test.go
+++ b/lab/pkg/crashreplay/requests_test.go
@@ -24,8 +24,8 @@
 		{Gateways: 8, Runners: 12, RequestsPerSecond: 60, CrashingRequests: 2, Retries: 4, CrashInterval: 2_000, Wave: 4, WaveGap: 150},
 		{Gateways: 8, Runners: 12, RequestsPerSecond: 60, CrashingRequests: 1, CrashAfter: []clock.Millis{160}},
 		{Gateways: 8, Runners: 12, RequestsPerSecond: 60, CrashingRequests: 1, CrashAfter: []clock.Millis{540}},
-		{Gateways: 8, Runners: 12, RequestsPerSecond: 60, CrashingRequests: 2, CrashAfter: []clock.Millis{20, 160, 540, 1_300}},
-		{Gateways: 27, Runners: 54, RequestsPerSecond: 280, CrashingRequests: 3, Loss: .05, CrashAfter: []clock.Millis{20, 160, 540, 1_300}},
+		{Gateways: 8, Runners: 12, RequestsPerSecond: 60, CrashingRequests: 2, CrashAfter: anyTime},
+		{Gateways: 27, Runners: 54, RequestsPerSecond: 280, CrashingRequests: 3, Loss: .05, CrashAfter: anyTime},
 	} {
 		seeds := uint64(40)
 		if c.Gateways > 20 {
--- a/lab/pkg/crashreplay/runner.go
+++ b/lab/pkg/crashreplay/runner.go
@@ -29,9 +29,9 @@
 	runner    *simRunner
 	sent      clock.Millis
 	startedAt clock.Millis
-	// firstEvent is when the first event arrived, 0 before. answered is set once the runner hasn't crashed by it.
+	// firstEvent is when the first event arrived, 0 before. begun is set once the runner hasn't crashed shortly after.
 	firstEvent clock.Millis
-	answered   bool
+	begun      bool
 	ended      bool
 }
 
@@ -98,8 +98,8 @@
 }
 
 func (x *run) confirm() {
-	x.answered = true
-	x.gateway.recordAnswer(x.request.parts, x.firstEvent)
+	x.begun = true
+	x.gateway.recordBegin(x.request.parts, x.firstEvent)
 }
 
 func (f *Fleet) finish(x *run) {
@@ -108,9 +108,10 @@
 	r.running = slices.DeleteFunc(r.running, func(o *run) bool { return o == x })
 	f.Served++
 	x.gateway.recordSuccess(x.request)
-	if !x.answered {
+	if !x.begun {
 		x.confirm()
 	}
+	x.gateway.recordAnswer(x.request.parts, x.firstEvent)
 	f.startNext(r)
 }
 
