Take a service for one of a single software version only after ten seconds

Callers could get a stream of two software versions: a gateway without a record of a stream goes on with it if all runners have had one version for twice the route's time limit. A caller's stream over its tries may be older than that where the limit is short or was lowered, and after a kill of all gateways each of them is without records and has known nothing else.

Class: a time that must cover the life of one thing, derived from a setting of another.

--- a/gateway/pkg/forward/origin.go
+++ b/gateway/pkg/forward/origin.go
@@ -25,6 +25,9 @@
 	// streamLives is the number of the route's time limits for which a service must have had a single software version,
 	// so that a stream without a record can't have begun at another one. A caller's attempts follow each other.
 	streamLives = 2
+	// minSingleVersion is the shortest such time. Callers resume streams within their own time, which may be longer than the
+	// route's time limit, and operators lower that while streams run.
+	minSingleVersion clock.Millis = 10_000
 	// maxResumeWait is the longest expected wait for a slot with which a stream is resumed: callers give up after
 	// two seconds without an event.
 	maxResumeWait clock.Millis = 1_500
@@ -81,7 +84,7 @@
 // onlyOrigin returns the origin of all streams of a route if they can only have begun at one software version of one
 // service. A gateway that was frozen or is cut off may not know of a new version, so it must have a recent list.
 func (s *Server) onlyOrigin(route routing.Route) (streamorigin.Origin, bool) {
-	now, span := s.config.Clock.Now(), streamLives*route.TimeLimit()
+	now, span := s.config.Clock.Now(), max(streamLives*route.TimeLimit(), minSingleVersion)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry, known := s.routeServices[routeID(route)]
--- a/gateway/pkg/forward/resumed_test.go
+++ b/gateway/pkg/forward/resumed_test.go
@@ -35,11 +35,30 @@
 }
 
 // ageVersions makes the server believe that its table and list have been the same for long.
-func (f *fixture) ageVersions() {
-	f.server.config.Clock = clock.FromFunc(func() clock.Millis { return clock.System().Now() + 3_600_000 })
+func (f *fixture) ageVersions() { f.ageVersionsBy(3_600_000) }
+
+// ageVersionsBy makes the server believe that its table and list have been the same for some time.
+func (f *fixture) ageVersionsBy(span clock.Millis) {
+	f.server.config.Clock = clock.FromFunc(func() clock.Millis { return clock.System().Now() + span })
 	f.server.config.Boot = f.server.config.Clock
 }
 
+// Guards against a stream that goes on at another software version because the route's time limit is shorter than its caller
+// waits, or was lowered since it began: the version that began it left a few seconds ago.
+func TestStreamIsNotResumedByShortTimeLimit(t *testing.T) {
+	f := start(t, reply{text: "id: 2\ndata: b\n\n"})
+	require.EqualValues(t, 1_000, f.server.Table().Wire().GetRoutes()[0].GetTimeLimitMs())
+	f.setVersions(map[string]string{"a": "v1", "b": "v2"})
+	f.ageVersions()
+	f.setVersions(map[string]string{"b": "v2"})
+	f.ageVersionsBy(3_600_000 + 4_500)
+	f.server.ConfirmFleet(f.server.config.Boot.Now())
+	status, text := f.resume("/resumable/x", "first")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, text, ReasonUnknownStream)
+	require.Empty(t, f.sent())
+}
+
 // Guards against a caller's stream that continues although nobody knows for certain at which software version it began, and
 // against one of another team, route or service that is joined.
 func TestStreamIsResumedOnlyIfItsOriginIsCertain(t *testing.T) {
