Find a part that crashes runners late although nothing else is answered

Where nothing else is answered, a part was blamed for crashes before the first event only. Eight crashes under three requests in eight moments are enough; then the part is refused for five seconds, as before in this case.

--- a/common/pkg/partcrashes/evidence.go
+++ b/common/pkg/partcrashes/evidence.go
@@ -44,6 +44,8 @@
 	minMoments       = 2
 	minMomentsAlone  = 3
 	minMomentsRecent = 5
+	// minMomentsBegunAlone are needed if nothing else was answered since, and answers had begun.
+	minMomentsBegunAlone = 8
 	// momentSpan is the span of one moment.
 	momentSpan clock.Millis = 200
 	// propagationDelay is the time after a crash until all daemons have received the reports of it and the answers
@@ -89,7 +91,8 @@
 	case e.recent:
 		return e.moments >= minMomentsRecent && e.requests >= sufficientRequests && e.all >= sufficientRecent && chance(r.any, e.all) <= maxChance*maxChance
 	case !e.contrast:
-		return e.moments >= minMomentsAlone && e.unbegun >= sufficientAlone
+		return e.moments >= minMomentsAlone && e.unbegun >= sufficientAlone ||
+			e.moments >= minMomentsBegunAlone && e.requests >= sufficientRequests && e.all >= sufficientMany
 	default:
 		return e.sufficientUnanswered(r.unanswered) || e.sufficientBegun(r.any)
 	}
