--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -107,34 +107,6 @@
 	return &Driver{config: config, wake: make(chan struct{}, 1), commits: &groupCommit{propose: config.Propose}}
 }
 
-// Notify queues a change of the state while the driver runs: it reads the whole state when it starts. It never blocks.
-func (d *Driver) Notify(change systemstate.Change) {
-	d.mu.Lock()
-	running := d.running
-	if running {
-		d.changes = append(d.changes, change)
-	}
-	d.mu.Unlock()
-	if running {
-		d.Wake()
-	}
-}
-
-// setRunning starts or ends the queueing of changes.
-func (d *Driver) setRunning(running bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.running, d.changes = running, nil
-}
-
-// Wake requests a step because the load has changed.
-func (d *Driver) Wake() {
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Run runs items until the context ends, and then cancels all calls.
 func (d *Driver) Run(ctx context.Context) {
 	d.machine = dispatch.New()
@@ -185,30 +157,6 @@
 	}
 }
 
-func (d *Driver) drainChanges() []systemstate.Change {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	changes := d.changes
-	d.changes = nil
-	return changes
-}
-
-func (d *Driver) drainEnded() []outcome {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	ended := d.ended
-	d.ended = nil
-	return ended
-}
-
-func (d *Driver) drainCounted() []dispatch.Key {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	counted := d.counted
-	d.counted = nil
-	return counted
-}
-
 // reload adds the items of all open jobs, at the start and after a snapshot was applied.
 func (d *Driver) reload() {
 	d.config.Machine.View(func(s *systemstate.State) {
