Take the end of an answer for complete only if its runner answers or is busy

Callers got answers without a length that were cut off by a crash as complete ones: if the probe of the runner gave no answer in 0.1 s, the answer counted as complete. A relay on a busy VM needs longer to reset the connection, and connections of a crashed runner that end later than the new one made it seem present.

--- a/common/pkg/runner/presence.go
+++ b/common/pkg/runner/presence.go
@@ -9,6 +9,8 @@
 	Present Presence = "present"
 	// Gone instances have ended: they crashed or left.
 	Gone Presence = "gone"
-	// Unknown means that nothing was answered in time.
+	// Silent instances accept connections and answer nothing in time: they are busy, or something accepts for them.
+	Silent Presence = "silent"
+	// Unknown means that not even a connection could be opened in time.
 	Unknown Presence = "unknown"
 )
--- a/gateway/pkg/forward/crash.go
+++ b/gateway/pkg/forward/crash.go
@@ -24,7 +24,7 @@
 // recheckDelays are the pauses before a runner that showed nothing is probed again, recheckTimeout how long it then has.
 var recheckDelays = []time.Duration{60 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond}
 
-const recheckTimeout = 200 * time.Millisecond
+const recheckTimeout = 500 * time.Millisecond
 
 // maxSuspectedWait is how long a request waits while another one finds out whether a part of its prompt crashes
 // runners. Clients of streams wait two seconds.
@@ -104,7 +104,7 @@
 	switch presence {
 	case runner.Gone:
 		e.server.reportCrash(call)
-	case runner.Unknown:
+	case runner.Silent, runner.Unknown:
 		go e.server.recheck(call)
 	case runner.Present:
 	}
@@ -134,7 +134,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), recheckTimeout)
 		presence := s.config.Client.Probe(ctx, call.runner)
 		cancel()
-		if presence == runner.Unknown {
+		if presence == runner.Silent || presence == runner.Unknown {
 			continue
 		}
 		s.metrics.broken.WithLabelValues("later-" + string(presence)).Inc()
