Count crashes beside a part only where a decision needs them

Each evaluation of a suspected part walked all known crashes, also for parts with a single one and for rivals.

--- a/common/pkg/partcrashes/evidence.go
+++ b/common/pkg/partcrashes/evidence.go
@@ -104,7 +104,7 @@
 	until := now
 	if e.recent || !e.contrast {
 		until = now - settleDelay
-		e = m.evidence(s, until)
+		e = m.fullEvidence(s, until)
 	}
 	return e.sufficient(crashRate) && e.newest+propagationDelay <= now && m.leads(s, e, until)
 }
@@ -138,6 +138,13 @@
 	return max(e.moments, min(e.all, e.requests))
 }
 
+// fullEvidence counts the crashes up to a time, and those beside them.
+func (m *Machine) fullEvidence(s *suspect, until clock.Millis) evidence {
+	e := m.evidence(s, until)
+	e.beside = m.countBeside(s, e)
+	return e
+}
+
 // evidence counts the crashes up to a time.
 func (m *Machine) evidence(s *suspect, until clock.Millis) evidence {
 	e := evidence{}
@@ -170,7 +177,6 @@
 		}
 	}
 	e.requests, e.moments = len(requests), countMoments(times)
-	e.beside = m.countBeside(s, e)
 	e.recent = e.all > 0 && s.answeredAt > 0 && e.first-s.answeredAt < recentAnswer
 	e.recentBegin = e.unbegun > 0 && s.begunAt > 0 && firstUnbegun-s.begunAt < recentAnswer
 	e.contrast = max(s.otherAt, m.elsewhereAt(s)) > e.first
--- a/common/pkg/partcrashes/machine.go
+++ b/common/pkg/partcrashes/machine.go
@@ -221,7 +221,10 @@
 	if s.quarantine.Until > now {
 		return m.evaluateQuarantined(now, s, c)
 	}
-	e := m.evidence(s, now)
+	if len(s.sightings) < minDelayedCrashes && s.quarantine.Count == 0 {
+		return crashes.Verdict{}, false
+	}
+	e := m.fullEvidence(s, now)
 	crashRate := m.crashRates(now, s, e)
 	if m.isBlamed(now, s, e, crashRate) {
 		m.setQuarantine(s, nextQuarantine(now, s, e.contrast))
