--- a/gateway/pkg/intake/memory.go
+++ b/gateway/pkg/intake/memory.go
@@ -22,9 +22,9 @@
 	maxSmallBytes = 64 << 10
 	// largePart is the part of the memory that large requests may hold together, so that small ones find some.
 	largePart = 0.75
-	// SlowAfter is the time after which a request that is still being read may lose its memory to another one. A body of
-	// the largest size arrives within a second.
-	SlowAfter clock.Millis = 1_000
+	// slowAfter is the time after which a request that is still being read may lose its memory to another one. A body of
+	// the largest size arrives within that time.
+	slowAfter clock.Millis = 2_000
 	// evictionTimeout limits the wait for the memory of requests that were evicted, which their readers give back at once.
 	evictionTimeout = 500 * time.Millisecond
 )
@@ -182,7 +182,7 @@
 		case other == h || !other.reading:
 		case other.evicted:
 			missing -= other.bytes
-		case now-other.startedAt >= SlowAfter:
+		case now-other.startedAt >= slowAfter:
 			slow = append(slow, other)
 		}
 	}
--- a/gateway/pkg/intake/memory_test.go
+++ b/gateway/pkg/intake/memory_test.go
@@ -59,7 +59,7 @@
 				h := readerOf(m)
 				require.NoError(t, h.Grow(context.Background(), bytes))
 				if c.slow {
-					h.age(SlowAfter)
+					h.age(slowAfter)
 				}
 				if !c.reading {
 					require.NoError(t, h.EndReading())
@@ -76,7 +76,7 @@
 	evicted := make(chan struct{})
 	h := m.Open(func() { close(evicted) })
 	require.NoError(t, h.Grow(context.Background(), 2<<20))
-	h.age(SlowAfter)
+	h.age(slowAfter)
 	result := make(chan error, 1)
 	go func() { result <- readerOf(m).Grow(context.Background(), 2<<20) }()
 	<-evicted
@@ -91,7 +91,7 @@
 	m := newTestMemory()
 	h := m.Open(func() {})
 	require.NoError(t, h.Grow(context.Background(), 3<<20))
-	h.age(SlowAfter)
+	h.age(slowAfter)
 	start := time.Now()
 	require.ErrorIs(t, readerOf(m).Grow(context.Background(), 2<<20), ErrMemoryFull)
 	require.GreaterOrEqual(t, time.Since(start), evictionTimeout)
@@ -138,7 +138,7 @@
 			},
 			"age": func(*rapid.T) {
 				if h := pick(); h != nil {
-					h.age(SlowAfter)
+					h.age(slowAfter)
 				}
 			},
 			"close": func(*rapid.T) {
