Count the heads of requests as memory of their gateway

What callers saw: a gateway that ended by its memory under heads without an end.

Cause: a head may have 64 KiB, since any configuration's limit has to fit in, and is only limited each. Reading one of 60 kB took about 150 kB.

Why it works: a request's account begins with its first byte, on the connection. A head that finds no memory ends its connection, and a slow one gives way as a slow body does; neither request was read, so its caller may come back at once. The account follows the request until its answer, so the copies of a head that is being served count, too.

--- a/gateway/pkg/intake/gate.go
+++ b/gateway/pkg/intake/gate.go
@@ -31,8 +31,10 @@
 type Config struct {
 	// MaxConnections limits the open connections; 0 for no limit.
 	MaxConnections int
-	Logger         log.Logger
-	Registerer     prometheus.Registerer
+	// Memory limits the memory of the requests; nil for no limit.
+	Memory     *Memory
+	Logger     log.Logger
+	Registerer prometheus.Registerer
 }
 
 // Gate limits the connections of a listener. A connection that it refuses is closed before anything is read from it.
@@ -51,6 +53,9 @@
 
 // New returns a gate without connections.
 func New(config Config) *Gate {
+	if config.Memory == nil {
+		config.Memory = NewMemory(MemoryConfig{Logger: config.Logger, Registerer: prometheus.NewRegistry()})
+	}
 	factory := promauto.With(config.Registerer)
 	g := &Gate{
 		config: config, started: time.Now(), limiter: NewLimiter(), open: map[net.Conn]bool{}, idle: list.New(), elements: map[net.Conn]*list.Element{},
@@ -140,6 +145,11 @@
 		g.elements[conn] = g.idle.PushBack(conn)
 	case http.StateClosed, http.StateHijacked:
 		delete(g.open, conn)
+	default:
+		return
+	}
+	if c, ok := conn.(*Conn); ok {
+		c.end()
 	}
 }
 
@@ -154,10 +164,11 @@
 // Accept implements net.Listener.
 func (l *gatedListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.Listener.Accept()
+		accepted, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
+		conn := newConn(accepted, l.gate.config.Memory)
 		reason, evicted := l.gate.admit(conn)
 		if evicted != nil {
 			_ = evicted.Close()
--- a/gateway/pkg/intake/gate_test.go
+++ b/gateway/pkg/intake/gate_test.go
@@ -36,7 +36,7 @@
 	s.address = listener.Addr().String()
 	web := &http.Server{
 		Handler:   http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-s.release }),
-		ConnState: s.gate.Track, ReadHeaderTimeout: time.Second,
+		ConnState: s.gate.Track, ConnContext: s.gate.WithConn, ReadHeaderTimeout: time.Second,
 	}
 	go func() { _ = web.Serve(s.gate.Listen(listener)) }()
 	t.Cleanup(func() { close(s.release); _ = web.Close() })
@@ -191,3 +191,41 @@
 	require.Positive(t, s.gate.limiter.sampledAt)
 	require.False(t, s.gate.limiter.Limited())
 }
+
+// Guards against requests whose memory is never given back, on kept, closed and refused connections.
+func TestRequestsGiveTheirMemoryBack(t *testing.T) {
+	s := startServer(t, 0)
+	memory := s.gate.config.Memory
+	used := func() int64 {
+		memory.mu.Lock()
+		defer memory.mu.Unlock()
+		return memory.used
+	}
+	awaitUsed := func(want bool) {
+		require.Eventually(t, func() bool { return (used() > 0) == want }, time.Second, time.Millisecond)
+	}
+	kept := s.connect(t)
+	for range 2 {
+		awaitUsed(true)
+		s.release <- struct{}{}
+		require.True(t, answered(t, kept))
+		awaitUsed(false)
+		send(kept)
+	}
+	s.release <- struct{}{}
+	require.True(t, answered(t, kept))
+	unended, err := net.Dial("tcp4", s.address)
+	require.NoError(t, err)
+	_, err = fmt.Fprint(unended, "GET / HTTP/1.1\r\nLong: x")
+	require.NoError(t, err)
+	awaitUsed(true)
+	require.NoError(t, unended.Close())
+	awaitUsed(false)
+}
+
+// Guards against heads that take more memory than there is: their connections are closed unread.
+func TestHeadWithoutMemoryClosesConnection(t *testing.T) {
+	s := startServer(t, 0)
+	s.gate.config.Memory.config.Limit = 1
+	require.False(t, answered(t, s.connect(t)))
+}
--- a/gateway/pkg/intake/memory.go
+++ b/gateway/pkg/intake/memory.go
@@ -69,6 +69,7 @@
 	startedAt clock.Millis
 	reading   bool
 	evicted   bool
+	closed    bool
 }
 
 // NewMemory returns a Memory without requests.
@@ -128,7 +129,7 @@
 	m := h.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if h.evicted {
+	if h.evicted || h.closed {
 		return nil, ErrEvicted
 	}
 	missing := m.missing(h, bytes)
@@ -219,12 +220,13 @@
 	return nil
 }
 
-// Close gives all bytes back. It may be called again.
+// Close gives all bytes back and takes no more. It may be called again.
 func (h *Hold) Close() {
 	m := h.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.holds, h)
+	h.closed = true
 	bytes := h.bytes
 	h.bytes = 0
 	m.release(bytes)
