--- a/gateway/pkg/intake/memory.go
+++ b/gateway/pkg/intake/memory.go
@@ -199,6 +199,11 @@
 	return victims, missing <= 0
 }
 
+// Fits reports whether one request may hold that many bytes at all.
+func (m *Memory) Fits(bytes int64) bool {
+	return m.config.Limit == 0 || bytes <= int64(largePart*float64(m.config.Limit))
+}
+
 // Shrink gives bytes back.
 func (h *Hold) Shrink(bytes int64) {
 	m := h.memory
