Limit the memory that gateways' calls take at the leader of the core

Cause: a submitted job is held some eight times at the leader: as received, decoded, as a step, in the log and in messages to the followers; then again for each item that runs. Nothing limited the sum: each gateway limits its own callers, but there may be hundreds of gateways. Entries that wait for a majority could have 64 MiB on a VM of 154 MB. An overloaded leader's refusal, which stores nothing, became 502.

Why it works: a job takes the memory of all its copies before it is read, an answer before it is loaded, from one account of the process; what finds too little has no effect and is refused at once. What waits for a majority, and the bodies of the items that run, have a sixteenth of the memory each. The gateway passes the refusal on as 503 unless an earlier attempt may have stored the job.

--- a/control/pkg/batchrun/driver.go
+++ b/control/pkg/batchrun/driver.go
@@ -63,6 +63,8 @@
 	// Weights returns the present weights of the teams, nil while no team has one; itself nil if slots
 	// are never shared by weight.
 	Weights func() func(team string) float64
+	// MaxBodyBytes limits the bodies of the items that run at the same time, in bytes; 0 for no limit.
+	MaxBodyBytes int64
 	// OnLag is called with the delay of each decision, if it isn't nil.
 	OnLag   func(lag clock.Millis)
 	Clock   clock.Clock
@@ -73,6 +75,7 @@
 // Driver runs the items of all open jobs.
 type Driver struct {
 	config Config
+	bodies *bodyLimit
 	wake   chan struct{}
 
 	mu sync.Mutex
@@ -104,7 +107,9 @@
 
 // New returns a driver that does nothing until Run is called.
 func New(config Config) *Driver {
-	return &Driver{config: config, wake: make(chan struct{}, 1), commits: &groupCommit{propose: config.Propose}}
+	return &Driver{
+		config: config, wake: make(chan struct{}, 1), commits: &groupCommit{propose: config.Propose}, bodies: newBodyLimit(config.MaxBodyBytes),
+	}
 }
 
 // Run runs items until the context ends, and then cancels all calls.
--- a/control/pkg/batchrun/run.go
+++ b/control/pkg/batchrun/run.go
@@ -18,6 +18,7 @@
 	"toucanhinge.example/common/pkg/sse"
 	"toucanhinge.example/control/pkg/callproxy"
 	"toucanhinge.example/control/pkg/dispatch"
+	"toucanhinge.example/control/pkg/segment"
 	"toucanhinge.example/control/pkg/systemstate"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
 )
@@ -159,7 +160,15 @@
 			return outcome{run: r, kind: superseded}
 		}
 	}
-	req, err := r.driver.itemRequest(r.key)
+	ref, err := r.driver.itemRef(r.key)
+	if err != nil {
+		return outcome{run: r, kind: broken, err: err}
+	}
+	if !r.driver.bodies.acquire(ctx, ref.length) {
+		return outcome{run: r, kind: paused}
+	}
+	defer r.driver.bodies.release(ref.length)
+	req, err := r.driver.itemRequest(ref)
 	if err != nil {
 		return outcome{run: r, kind: broken, err: err}
 	}
@@ -287,6 +296,14 @@
 	}
 }
 
+// itemRef refers to the request of an item, which is stored with a length in bytes. Its job has the host and the team.
+type itemRef struct {
+	record segment.Ref
+	length int64
+	host   string
+	team   string
+}
+
 // itemRequest is the request of an item with the host and team of its job.
 type itemRequest struct {
 	item *toucanhingev1.JobItem
@@ -294,21 +311,27 @@
 	team string
 }
 
-func (d *Driver) itemRequest(key dispatch.Key) (itemRequest, error) {
-	ref, found, req := systemstate.Item{}, false, itemRequest{}
+func (d *Driver) itemRef(key dispatch.Key) (itemRef, error) {
+	ref, found := itemRef{}, false
 	d.config.Machine.View(func(s *systemstate.State) {
 		if j := s.Job(key.Job); j != nil && int(key.Index) < len(j.Items) {
-			ref, found = j.Items[key.Index], true
-			req.host, req.team = j.Host, j.Team
+			ref, found = itemRef{record: j.Items[key.Index].Request, host: j.Host, team: j.Team}, true
 		}
 	})
 	if !found {
-		return itemRequest{}, errItemGone
+		return itemRef{}, errItemGone
+	}
+	var err error
+	if ref.length, err = d.config.Machine.Length(ref.record); err != nil {
+		return itemRef{}, fmt.Errorf("read the length of a batch item: %w", err)
 	}
-	item, err := d.config.Machine.Item(ref.Request)
+	return ref, nil
+}
+
+func (d *Driver) itemRequest(ref itemRef) (itemRequest, error) {
+	item, err := d.config.Machine.Item(ref.record)
 	if err != nil {
 		return itemRequest{}, fmt.Errorf("read the request of a batch item: %w", err)
 	}
-	req.item = item
-	return req, nil
+	return itemRequest{item: item, host: ref.host, team: ref.team}, nil
 }
--- a/control/pkg/core/core.go
+++ b/control/pkg/core/core.go
@@ -42,6 +42,10 @@
 	checkpointBytes = 1 << 20
 	retainBytes     = 256 << 10
 	logFileBytes    = 4 << 20
+	// uncommittedRatio and runningBodiesRatio are the parts of the process's memory that the entries which wait for a majority
+	// may have, and the bodies of the items that run. Each is held several times: in the log and in messages.
+	uncommittedRatio   = 1.0 / 16
+	runningBodiesRatio = 1.0 / 16
 	// ringSize is sufficient for some hundred steps in flight. With 4,096 entries the rings
 	// of a VM with two peers took 2.5 MB.
 	ringSize = 512
@@ -69,6 +73,8 @@
 	// DrainNoticeLimit is how long requests may still be sent to a runner after the directory
 	// shows that it is draining; 0 if unknown.
 	DrainNoticeLimit clock.Millis
+	// MemoryLimit is the memory that the process may use, in bytes; 0 if unknown.
+	MemoryLimit int64
 
 	Clock      clock.Clock
 	Logger     log.Logger
@@ -103,6 +109,7 @@
 	tables        *signal.Signal
 	results       *topics
 	readConfirmer *readConfirmer
+	callMemory    *callMemory
 	metrics       *metrics
 	// subscribers counts the gateways whose Attend calls are being served.
 	subscribers atomic.Int64
@@ -127,6 +134,7 @@
 		return nil, fmt.Errorf("data folder: %w", err)
 	}
 	c := &Core{config: config, identity: identity, fleet: newFleet(), tables: signal.New(), results: newTopics(), announceNow: make(chan struct{}, 1), metrics: newMetrics(config.Registerer)}
+	c.callMemory = &callMemory{limit: int64(callMemoryRatio * float64(config.MemoryLimit)), refused: c.metrics.callsWithoutMemory}
 	c.readConfirmer = newReadConfirmer(func(ctx context.Context) error { return c.group.Read(ctx) })
 	c.knownMembers = loadKnownMembers(filepath.Join(config.Folder, "acquaintances"), config.Logger)
 	config.Core.SetAddresses(c.knownMembers.withSeeds(config.Seeds()))
@@ -142,6 +150,7 @@
 		Machine: c.machine, Propose: c.propose, Client: proxy.RunnerClient(), OnLag: proxy.ReportLag, Exchange: config.Exchange,
 		Runners: c.fleet.currentRunners, DataCentre: config.DataCentre, Clock: config.Clock, Logger: config.Logger,
 		Metrics: batchrun.NewMetrics(config.Registerer), Pace: config.Exchange.Pace, Weights: c.teamWeights,
+		MaxBodyBytes: int64(runningBodiesRatio * float64(config.MemoryLimit)),
 	})
 	var foundingMembers []replica.Peer
 	for _, address := range config.FoundingMembers {
@@ -152,6 +161,7 @@
 		Bootstrap: foundingMembers, Clock: config.Clock, Logger: config.Logger, Registerer: config.Registerer,
 		HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout,
 		CheckpointBytes: checkpointBytes, RetainBytes: retainBytes, LogFileBytes: logFileBytes, RingSize: ringSize,
+		MaxUncommittedBytes: int(uncommittedRatio * float64(config.MemoryLimit)),
 	}, replica.Machine{
 		Apply: c.machine.Apply, Checkpoint: c.machine.Checkpoint, Load: c.machine.Load,
 		Export: c.machine.Export, Import: c.machine.Import,
--- a/control/pkg/core/metrics.go
+++ b/control/pkg/core/metrics.go
@@ -10,6 +10,8 @@
 	membershipSteps *prometheus.CounterVec
 	jobs            *prometheus.CounterVec
 	attendCalls     *prometheus.CounterVec
+	// callsWithoutMemory counts the calls that errCallMemory ended.
+	callsWithoutMemory prometheus.Counter
 }
 
 // Outcomes of gateways' Attend calls.
@@ -32,6 +34,9 @@
 		jobs: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "toucanhinge_jobs_total", Help: "Submitted jobs, by outcome.",
 		}, []string{"outcome"}),
+		callsWithoutMemory: factory.NewCounter(prometheus.CounterOpts{
+			Name: "toucanhinge_calls_without_memory_total", Help: "Gateways' calls about jobs refused because others held the memory for them.",
+		}),
 		attendCalls: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "toucanhinge_attend_calls_total", Help: "Gateways' calls for state updates, by outcome.",
 		}, []string{"outcome"}),
--- a/control/pkg/core/service.go
+++ b/control/pkg/core/service.go
@@ -77,9 +77,9 @@
 	defer timer.Stop()
 	for {
 		changed := c.results.next(c.jobName(r.Msg.GetKey(), r.Msg.GetJob()))
-		response, err := c.listResults(r.Msg)
+		response, err := c.listResults(ctx, r.Msg)
 		if err != nil {
-			return nil, connect.NewError(connect.CodeUnavailable, err)
+			return nil, c.callError(err)
 		}
 		if !response.GetFound() || len(response.GetResults()) > 0 || r.Msg.GetAfter() >= response.GetTotal() {
 			return connect.NewResponse(response), nil
@@ -102,7 +102,7 @@
 
 // listResults returns the results after a position, up to the requested number of bytes and at
 // least one.
-func (c *Core) listResults(r *toucanhingev1.ReadListedRequest) (*toucanhingev1.ReadListedResponse, error) {
+func (c *Core) listResults(ctx context.Context, r *toucanhingev1.ReadListedRequest) (*toucanhingev1.ReadListedResponse, error) {
 	response := &toucanhingev1.ReadListedResponse{}
 	var records []listedResult
 	c.machine.View(func(s *systemstate.State) {
@@ -121,6 +121,16 @@
 	})
 	size := 0
 	for _, rec := range records {
+		length, err := c.machine.Length(rec.parts...)
+		if err != nil {
+			return nil, err
+		}
+		if err := takeForAnswer(ctx, length); err != nil {
+			if len(response.Results) > 0 {
+				break
+			}
+			return nil, err
+		}
 		text, err := c.machine.Text(rec.parts)
 		if err != nil {
 			return nil, err
@@ -156,6 +166,13 @@
 	if ref == 0 {
 		return connect.NewResponse(&toucanhingev1.ReadBodyResponse{Denied: denied}), nil
 	}
+	length, err := c.machine.Length(ref)
+	if err == nil {
+		err = takeForAnswer(ctx, length)
+	}
+	if err != nil {
+		return nil, c.callError(err)
+	}
 	item, err := c.machine.Item(ref)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
@@ -214,6 +231,8 @@
 func (c *Core) callError(err error) error {
 	var notLeader *replica.NotLeaderError
 	switch {
+	case errors.Is(err, errCallMemory):
+		return err
 	case errors.As(err, &notLeader):
 		return control.NotLeader(c.Leader())
 	case errors.Is(err, replica.ErrOverloaded):
--- a/control/pkg/replica/config.go
+++ b/control/pkg/replica/config.go
@@ -79,6 +79,8 @@
 	// and in memory after a checkpoint has covered them, for members that lag.
 	RetainEntries uint64
 	RetainBytes   int
+	// MaxUncommittedBytes limits the size of the entries that wait to be committed; 0 means 64 MiB.
+	MaxUncommittedBytes int
 	// RingSize limits the messages that wait to be handled, and the messages that wait to
 	// be sent to one peer. A ring always occupies its full memory, about 200 bytes per
 	// element.
--- a/control/pkg/replica/loop.go
+++ b/control/pkg/replica/loop.go
@@ -67,7 +67,7 @@
 	machine, err := consensus.New(consensus.Config{
 		Name: g.config.Name, Identity: g.config.Identity,
 		HeartbeatInterval: g.config.HeartbeatInterval, ElectionTimeout: g.config.ElectionTimeout,
-		Jitter: g.config.Jitter,
+		Jitter: g.config.Jitter, MaxUncommittedBytes: g.config.MaxUncommittedBytes,
 	}, consensus.Restored{
 		State: content.State, Base: content.Base, Entries: content.Entries,
 		Applied: cp.Index, AppliedMembers: cp.Members,
--- a/control/pkg/segment/store.go
+++ b/control/pkg/segment/store.go
@@ -153,15 +153,9 @@
 
 // Read returns a record's payload.
 func (s *Store) Read(ref Ref) ([]byte, error) {
-	s.mu.RLock()
-	f := s.files[ref.File()]
-	s.mu.RUnlock()
-	if f == nil {
-		return nil, fmt.Errorf("%s at %d: %w", s.path(ref.File()), ref.offset(), ErrGone)
-	}
-	var header [headerBytes]byte
-	if _, err := f.handle.ReadAt(header[:], ref.offset()); err != nil {
-		return nil, s.readError(ref, err)
+	f, header, err := s.readHeader(ref)
+	if err != nil {
+		return nil, err
 	}
 	payload := make([]byte, binary.LittleEndian.Uint32(header[:]))
 	if _, err := f.handle.ReadAt(payload, ref.offset()+headerBytes); err != nil {
@@ -173,6 +167,29 @@
 	return payload, nil
 }
 
+// Length returns the length of a record, in bytes.
+func (s *Store) Length(ref Ref) (int64, error) {
+	_, header, err := s.readHeader(ref)
+	if err != nil {
+		return 0, err
+	}
+	return int64(binary.LittleEndian.Uint32(header[:])), nil
+}
+
+// readHeader returns the file and the header of a record.
+func (s *Store) readHeader(ref Ref) (f *file, header [headerBytes]byte, err error) {
+	s.mu.RLock()
+	f = s.files[ref.File()]
+	s.mu.RUnlock()
+	if f == nil {
+		return nil, header, fmt.Errorf("%s at %d: %w", s.path(ref.File()), ref.offset(), ErrGone)
+	}
+	if _, err := f.handle.ReadAt(header[:], ref.offset()); err != nil {
+		return nil, header, s.readError(ref, err)
+	}
+	return f, header, nil
+}
+
 func (s *Store) readError(ref Ref, err error) error {
 	if errors.Is(err, os.ErrClosed) {
 		err = ErrGone
--- a/control/pkg/systemstate/machine.go
+++ b/control/pkg/systemstate/machine.go
@@ -199,6 +199,22 @@
 	return records.Read(ref)
 }
 
+// Length returns the length of stored records, in bytes.
+func (m *Machine) Length(refs ...segment.Ref) (int64, error) {
+	m.mu.RLock()
+	records := m.records
+	m.mu.RUnlock()
+	sum := int64(0)
+	for _, ref := range refs {
+		length, err := records.Length(ref)
+		if err != nil {
+			return 0, err
+		}
+		sum += length
+	}
+	return sum, nil
+}
+
 // Text returns an item's text, joined from its parts.
 func (m *Machine) Text(parts []segment.Ref) ([]byte, error) {
 	var text []byte
--- a/gateway/pkg/jobs/service.go
+++ b/gateway/pkg/jobs/service.go
@@ -46,6 +46,8 @@
 	ReasonUnknownJob     = "unknown-job"
 	ReasonUnreachable    = "core-unreachable"
 	ReasonOutcomeUnknown = "outcome-unknown"
+	// ReasonCoreFull means that other jobs hold the memory of the core's leader.
+	ReasonCoreFull = "core-full"
 )
 
 // Config holds the dependencies of a Service.
@@ -78,13 +80,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	mayBeStored := false
 	answer, err := control.Call(ctx, s.config.Core, group, "submit-job",
 		func(ctx context.Context, leader *control.Replica) (*toucanhingev1.SubmitJobResponse, error) {
 			ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 			defer cancel()
-			return unwrap(leader.Core.SubmitJob(ctx, connect.NewRequest(job)))
+			answer, err := unwrap(leader.Core.SubmitJob(ctx, connect.NewRequest(job)))
+			mayBeStored = mayBeStored || err != nil && !isRefused(err)
+			return answer, err
 		})
-	outcome := submitOutcome(answer, err)
+	outcome := submitOutcome(answer, err, mayBeStored)
 	level.Info(s.config.Logger).Log(logs.KeyEvent, logs.EventJobAnswered, logs.KeyJob, job.GetJob(), "route", route.Name,
 		"items", len(job.GetItems()), "outcome", answer.GetOutcome(), "status", outcome.status(), "retry-after-ms", outcome.retryAfter().Milliseconds(), logs.KeyError, err)
 	return outcome
@@ -104,10 +109,19 @@
 	return 0
 }
 
-// submitOutcome returns the outcome of a submitted job for the caller.
-func submitOutcome(answer *toucanhingev1.SubmitJobResponse, err error) Outcome {
+// isRefused reports whether an attempt to submit a job had no effect: the VM doesn't lead, or is overloaded.
+func isRefused(err error) bool {
+	_, notLeader := control.LeaderOf(err)
+	return notLeader || connect.CodeOf(err) == connect.CodeResourceExhausted
+}
+
+// submitOutcome returns the outcome of a submitted job for the caller. mayBeStored is set if it isn't known whether an
+// attempt stored the job.
+func submitOutcome(answer *toucanhingev1.SubmitJobResponse, err error, mayBeStored bool) Outcome {
 	outcome := answer.GetOutcome()
 	switch {
+	case connect.CodeOf(err) == connect.CodeResourceExhausted && !mayBeStored:
+		return Outcome{Refusal: &forward.Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonCoreFull, RetryAfter: jitter(retryDelay)}}
 	case err != nil:
 		return Outcome{Refusal: &forward.Refusal{Status: http.StatusBadGateway, Reason: ReasonOutcomeUnknown}}
 	case outcome == toucanhingev1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED:
--- a/gateway/pkg/jobs/service_test.go
+++ b/gateway/pkg/jobs/service_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,6 +96,25 @@
 	require.Less(t, time.Since(startedAt), 700*time.Millisecond)
 }
 
+func overloaded() (*toucanhingev1.SubmitJobResponse, error) {
+	return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("too much waits"))
+}
+
+func unavailable() (*toucanhingev1.SubmitJobResponse, error) {
+	return nil, connect.NewError(connect.CodeUnavailable, errors.New("the outcome isn't known"))
+}
+
+// inTurn returns a leader that answers the first attempt and the later ones.
+func inTurn(first, later func() (*toucanhingev1.SubmitJobResponse, error)) func() (*toucanhingev1.SubmitJobResponse, error) {
+	var attempts atomic.Int32
+	return func() (*toucanhingev1.SubmitJobResponse, error) {
+		if attempts.Add(1) == 1 {
+			return first()
+		}
+		return later()
+	}
+}
+
 // TestSubmitOutcomes checks that an answer says that the job wasn't accepted only if that is certain.
 func TestSubmitOutcomes(t *testing.T) {
 	for _, c := range []struct {
@@ -107,9 +127,9 @@
 		{"accepted", accepted, http.StatusAccepted, "", false},
 		{"over the quota", outcome(toucanhingev1.SubmitOutcome_SUBMIT_OUTCOME_OVER_QUOTA), http.StatusTooManyRequests, ReasonQuota, true},
 		{"the core has no such route", outcome(toucanhingev1.SubmitOutcome_SUBMIT_OUTCOME_NO_ROUTE), http.StatusServiceUnavailable, "no-route", true},
-		{"the leader fails while it commits the job", func() (*toucanhingev1.SubmitJobResponse, error) {
-			return nil, connect.NewError(connect.CodeUnavailable, errors.New("the outcome isn't known"))
-		}, http.StatusBadGateway, ReasonOutcomeUnknown, false},
+		{"the leader fails while it commits the job", unavailable, http.StatusBadGateway, ReasonOutcomeUnknown, false},
+		{"the leader is overloaded", overloaded, http.StatusServiceUnavailable, ReasonCoreFull, true},
+		{"the leader is overloaded after it failed", inTurn(unavailable, overloaded), http.StatusBadGateway, ReasonOutcomeUnknown, false},
 		{"no leader", func() (*toucanhingev1.SubmitJobResponse, error) { return nil, control.NotLeader("") }, http.StatusBadGateway, ReasonOutcomeUnknown, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
