Count answers from memory until their caller has read them

What callers saw: a gateway and the leader ended by their memory under callers that ask for the body of an item, or a page of results, and read nothing. Nothing limited how long a caller may take to read, so such a connection was taken for good.

Cause: the same as with bodies: each answer has a limit, their sum had none.

Why it works: an answer takes the memory of its copies before it is encoded and keeps it until it is written. One that is being written for over two seconds gives way to others; any caller that takes over ten seconds for 64 KiB is cut off.

--- a/gateway/pkg/intake/conn.go
+++ b/gateway/pkg/intake/conn.go
@@ -5,8 +5,21 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// writePiece is written at once, and writeTimeout is how long a caller may take to read that much. A caller that reads
+	// nothing would otherwise occupy its connection and what the gateway holds for it without an end.
+	writePiece   = 64 << 10
+	writeTimeout = 10 * time.Second
+	// deadlineInterval is how often the deadline of writes is moved at most.
+	deadlineInterval = time.Second
 )
 
+var errStopped = errors.New("the request gave its memory back")
+
 // headCost is the memory that a byte of a request's head takes: as text, as fields, and as the copy that is forwarded.
 const headCost = 3
 
@@ -19,6 +32,10 @@
 	// hold is the memory of the request that is being read or served, nil before its first byte. Only the goroutine that
 	// serves the connection uses it.
 	hold *Hold
+	// stopped is set when an answer that is being written must give its memory back.
+	stopped atomic.Bool
+	// deadlineSetAt is when the deadline of writes was last moved.
+	deadlineSetAt time.Time
 }
 
 func newConn(conn net.Conn, memory *Memory) *Conn {
@@ -42,8 +59,36 @@
 	return n, err
 }
 
+// Write implements net.Conn. It fails if the caller doesn't read.
+func (c *Conn) Write(p []byte) (n int, err error) {
+	for len(p) > 0 && err == nil {
+		if now := time.Now(); now.Sub(c.deadlineSetAt) > deadlineInterval || len(p) > writePiece {
+			c.deadlineSetAt = now
+			if err := c.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+				return n, err
+			}
+		}
+		if c.stopped.Load() {
+			return n, errStopped
+		}
+		var written int
+		written, err = c.Conn.Write(p[:min(len(p), writePiece)])
+		n += written
+		p = p[written:]
+	}
+	return n, err
+}
+
 func (c *Conn) open() *Hold {
-	return c.memory.Open(func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	past := time.Unix(1, 0)
+	return c.memory.Open(func(p Phase) {
+		if p == Reading {
+			_ = c.SetReadDeadline(past)
+			return
+		}
+		c.stopped.Store(true)
+		_ = c.SetWriteDeadline(past)
+	})
 }
 
 // begin ends the head of a request and returns the request's memory.
--- a/gateway/pkg/intake/memory.go
+++ b/gateway/pkg/intake/memory.go
@@ -22,8 +22,8 @@
 	maxSmallBytes = 64 << 10
 	// largePart is the part of the memory that large requests may hold together, so that small ones find some.
 	largePart = 0.75
-	// slowAfter is the time after which a request that is still being read may lose its memory to another one. A body of
-	// the largest size arrives within that time.
+	// slowAfter is the time after which a request whose body is still being read, or whose answer is still being written,
+	// may lose its memory to another one. A body of the largest size arrives within that time.
 	slowAfter clock.Millis = 2_000
 	// evictionTimeout limits the wait for the memory of requests that were evicted, which their readers give back at once.
 	evictionTimeout = 500 * time.Millisecond
@@ -32,8 +32,8 @@
 var (
 	// ErrMemoryFull means that the other requests hold too much memory, and that none of them is slow.
 	ErrMemoryFull = errors.New("the memory for requests is used up")
-	// ErrEvicted means that a request was read too slowly, and that others need its memory.
-	ErrEvicted = errors.New("the request was read too slowly")
+	// ErrEvicted means that a request's caller was too slow, and that others need its memory.
+	ErrEvicted = errors.New("the caller of the request was too slow")
 )
 
 // MemoryConfig holds the settings and dependencies of a Memory.
@@ -58,18 +58,30 @@
 	freed chan struct{}
 }
 
+// Phase is what a request is waiting for.
+type Phase string
+
+const (
+	// Reading and Writing requests wait for their caller, who may be slow.
+	Reading Phase = "reading"
+	Writing Phase = "writing"
+	// Serving requests wait for the system. They aren't evicted.
+	Serving Phase = "serving"
+)
+
 // Hold is the memory of one request.
 type Hold struct {
 	memory *Memory
-	// stopReading makes the request's reader return at once.
-	stopReading func()
+	// stop ends the reading or the writing of the request at once.
+	stop func(Phase)
 
 	// The following fields are guarded by the lock of the Memory.
-	bytes     int64
-	startedAt clock.Millis
-	reading   bool
-	evicted   bool
-	closed    bool
+	bytes int64
+	phase Phase
+	// since is when the phase began.
+	since   clock.Millis
+	evicted bool
+	closed  bool
 }
 
 // NewMemory returns a Memory without requests.
@@ -77,7 +89,7 @@
 	m := &Memory{config: config, started: time.Now(), holds: map[*Hold]bool{}, freed: make(chan struct{})}
 	factory := promauto.With(config.Registerer)
 	m.evicted = factory.NewCounter(prometheus.CounterOpts{
-		Name: "toucanhinge_caller_requests_evicted_total", Help: "Requests that were read too slowly and lost their memory to others.",
+		Name: "toucanhinge_caller_requests_evicted_total", Help: "Requests whose callers were too slow and that lost their memory to others.",
 	})
 	factory.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "toucanhinge_caller_memory_bytes", Help: "Memory that the callers' requests hold.",
@@ -92,10 +104,10 @@
 // now returns the time since the start. It doesn't follow changes of the time of day.
 func (m *Memory) now() clock.Millis { return clock.Millis(time.Since(m.started).Milliseconds()) }
 
-// Open returns the hold of a request that is about to be read. stopReading is called, from another goroutine, if the
-// request must give its memory back.
-func (m *Memory) Open(stopReading func()) *Hold {
-	h := &Hold{memory: m, stopReading: stopReading, startedAt: m.now(), reading: true}
+// Open returns the hold of a request that is about to be read. stop is called with the request's phase, from another
+// goroutine, if the request must give its memory back.
+func (m *Memory) Open(stop func(Phase)) *Hold {
+	h := &Hold{memory: m, stop: stop, phase: Reading, since: m.now()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.holds[h] = true
@@ -145,8 +157,8 @@
 	for _, v := range victims {
 		v.evicted = true
 		m.evicted.Inc()
-		level.Info(m.config.Logger).Log(logs.KeyEvent, "request-evicted", "bytes", v.bytes, "age-ms", m.now()-v.startedAt, "used", m.used)
-		v.stopReading()
+		level.Info(m.config.Logger).Log(logs.KeyEvent, "request-evicted", "phase", v.phase, "bytes", v.bytes, "age-ms", m.now()-v.since, "used", m.used)
+		v.stop(v.phase)
 	}
 	return m.freed, nil
 }
@@ -180,14 +192,14 @@
 	var slow []*Hold
 	for other := range m.holds {
 		switch {
-		case other == h || !other.reading:
+		case other == h || other.phase == Serving:
 		case other.evicted:
 			missing -= other.bytes
-		case now-other.startedAt >= slowAfter:
+		case now-other.since >= slowAfter:
 			slow = append(slow, other)
 		}
 	}
-	cost := func(h *Hold) int64 { return h.bytes * int64(now-h.startedAt) }
+	cost := func(h *Hold) int64 { return h.bytes * int64(now-h.since) }
 	slices.SortFunc(slow, func(a, b *Hold) int { return cmp.Compare(cost(b), cost(a)) })
 	for _, other := range slow {
 		if missing <= 0 {
@@ -221,10 +233,18 @@
 	if h.evicted {
 		return ErrEvicted
 	}
-	h.reading = false
+	h.phase = Serving
 	return nil
 }
 
+// BeginWriting records that the answer is being written from memory, so that the request is evicted if its caller is slow
+// to read.
+func (h *Hold) BeginWriting() {
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	h.phase, h.since = Writing, h.memory.now()
+}
+
 // Close gives all bytes back and takes no more. It may be called again.
 func (h *Hold) Close() {
 	m := h.memory
--- a/gateway/pkg/intake/memory_test.go
+++ b/gateway/pkg/intake/memory_test.go
@@ -24,13 +24,13 @@
 func (h *Hold) age(by clock.Millis) {
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
-	h.startedAt -= by
+	h.since -= by
 }
 
 // readerOf returns a request that gives its memory back as soon as it is told to.
 func readerOf(m *Memory) *Hold {
 	var h *Hold
-	h = m.Open(func() { go h.Close() })
+	h = m.Open(func(Phase) { go h.Close() })
 	return h
 }
 
@@ -39,31 +39,37 @@
 	const large = 1 << 20
 	for _, c := range []struct {
 		name string
-		// before are the bytes of requests that are there, slow and reading apply to them.
-		before        []int64
-		slow, reading bool
-		bytes         int64
-		want          error
+		// before are the bytes of requests that are there, slow and phase apply to them.
+		before []int64
+		slow   bool
+		phase  Phase
+		bytes  int64
+		want   error
 	}{
-		{"room for all", []int64{large}, true, true, large, nil},
-		{"slow bodies are evicted", []int64{large, large, large}, true, true, large, nil},
-		{"bodies that have just begun stay", []int64{large, large, large}, false, true, large, ErrMemoryFull},
-		{"complete bodies stay", []int64{large, large, large}, true, false, large, ErrMemoryFull},
-		{"large bodies leave room for small ones", []int64{large, large, large}, false, true, maxSmallBytes, nil},
-		{"a single large body may exceed the limit", nil, false, true, 2 * testLimit, nil},
-		{"beside another large one it may not", []int64{large}, false, true, testLimit, ErrMemoryFull},
+		{"room for all", []int64{large}, true, Reading, large, nil},
+		{"slow bodies are evicted", []int64{large, large, large}, true, Reading, large, nil},
+		{"bodies that have just begun stay", []int64{large, large, large}, false, Reading, large, ErrMemoryFull},
+		{"complete bodies stay", []int64{large, large, large}, true, Serving, large, ErrMemoryFull},
+		{"answers that are read slowly are evicted", []int64{large, large, large}, true, Writing, large, nil},
+		{"answers that were just begun stay", []int64{large, large, large}, false, Writing, large, ErrMemoryFull},
+		{"large bodies leave room for small ones", []int64{large, large, large}, false, Reading, maxSmallBytes, nil},
+		{"a single large body may exceed the limit", nil, false, Reading, 2 * testLimit, nil},
+		{"beside another large one it may not", []int64{large}, false, Reading, testLimit, ErrMemoryFull},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := newTestMemory()
 			for _, bytes := range c.before {
 				h := readerOf(m)
 				require.NoError(t, h.Grow(context.Background(), bytes))
+				if c.phase != Reading {
+					require.NoError(t, h.EndReading())
+				}
+				if c.phase == Writing {
+					h.BeginWriting()
+				}
 				if c.slow {
 					h.age(slowAfter)
 				}
-				if !c.reading {
-					require.NoError(t, h.EndReading())
-				}
 			}
 			require.ErrorIs(t, readerOf(m).Grow(context.Background(), c.bytes), c.want)
 		})
@@ -74,7 +80,7 @@
 func TestEvictedRequestIsNotCompleted(t *testing.T) {
 	m := newTestMemory()
 	evicted := make(chan struct{})
-	h := m.Open(func() { close(evicted) })
+	h := m.Open(func(Phase) { close(evicted) })
 	require.NoError(t, h.Grow(context.Background(), 2<<20))
 	h.age(slowAfter)
 	result := make(chan error, 1)
@@ -89,7 +95,7 @@
 // Guards against a wait without an end for a request that doesn't give its memory back.
 func TestWaitForEvictedRequestIsBounded(t *testing.T) {
 	m := newTestMemory()
-	h := m.Open(func() {})
+	h := m.Open(func(Phase) {})
 	require.NoError(t, h.Grow(context.Background(), 3<<20))
 	h.age(slowAfter)
 	start := time.Now()
@@ -111,7 +117,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"open": func(*rapid.T) {
-				h := m.Open(func() {})
+				h := m.Open(func(Phase) {})
 				open, held[h] = append(open, h), 0
 			},
 			"take": func(t *rapid.T) {
