Refuse jobs that the core can't store

What callers saw: the core ended, on all its VMs alike, under jobs within the limits. 24 jobs with an id of 3.9 MB took each core VM to 723 to 767 MB; 800 jobs of 200 items that count as no tokens took them to 76 to 133 MB, where 64 are allowed; 30 jobs of 3.9 MB wrote 89 MB to a disk of 48.

Cause: accepted jobs stay in memory and on disk for 15 minutes, and only a quota of tokens limited them. An item may have no tokens, even negative ones, which made room under the quota; ids had no limit.

Why it works: the leader takes a new job only while accepted ones take less than a fourth of its memory and half of its disk, and deletes expired ones first.

--- a/control/pkg/core/core.go
+++ b/control/pkg/core/core.go
@@ -75,6 +75,8 @@
 	DrainNoticeLimit clock.Millis
 	// MemoryLimit is the memory that the process may use, in bytes; 0 if unknown.
 	MemoryLimit int64
+	// DiskLimit is the size of the disk, in bytes; 0 if unknown.
+	DiskLimit int64
 
 	Clock      clock.Clock
 	Logger     log.Logger
@@ -110,7 +112,9 @@
 	results       *topics
 	readConfirmer *readConfirmer
 	callMemory    *callMemory
-	metrics       *metrics
+	// expiredDeletedAt is the time at which expired jobs were last deleted because the storage was full, 0 for never.
+	expiredDeletedAt atomic.Int64
+	metrics          *metrics
 	// subscribers counts the gateways whose Attend calls are being served.
 	subscribers atomic.Int64
 	// announcedAt is the time of this VM's last announcement, as Unix time in milliseconds.
--- a/control/pkg/core/service.go
+++ b/control/pkg/core/service.go
@@ -51,6 +51,9 @@
 	if err := c.requireLeader(); err != nil {
 		return nil, err
 	}
+	if err := c.requireRoom(ctx, r.Msg); err != nil {
+		return nil, err
+	}
 	outcome, err := proposeOne[toucanhingev1.SubmitOutcome](ctx, c, &toucanhingev1.SystemStep{
 		Step: &toucanhingev1.SystemStep_AcceptJob{AcceptJob: &toucanhingev1.AcceptJobStep{Job: r.Msg}},
 	})
--- a/control/pkg/segment/store.go
+++ b/control/pkg/segment/store.go
@@ -167,6 +167,17 @@
 	return payload, nil
 }
 
+// Size returns the size of all files, in bytes. It may be called from any goroutine.
+func (s *Store) Size() int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	sum := int64(0)
+	for _, f := range s.files {
+		sum += f.length
+	}
+	return sum
+}
+
 // Length returns the length of a record, in bytes.
 func (s *Store) Length(ref Ref) (int64, error) {
 	_, header, err := s.readHeader(ref)
--- a/control/pkg/systemstate/machine.go
+++ b/control/pkg/systemstate/machine.go
@@ -215,6 +215,16 @@
 	return sum, nil
 }
 
+// StoredBytes returns the size of all stored records, in bytes.
+func (m *Machine) StoredBytes() int64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.records == nil {
+		return 0
+	}
+	return m.records.Size()
+}
+
 // Text returns an item's text, joined from its parts.
 func (m *Machine) Text(parts []segment.Ref) ([]byte, error) {
 	var text []byte
--- a/control/pkg/systemstate/snapshot.go
+++ b/control/pkg/systemstate/snapshot.go
@@ -74,8 +74,7 @@
 		s.table = table
 	}
 	for _, saved := range snapshot.GetJobs() {
-		j := restoreJob(saved)
-		s.jobs[j.Name] = j
+		s.add(restoreJob(saved))
 	}
 	for _, v := range snapshot.GetVms() {
 		s.vms[v.GetName()] = &VM{Name: v.GetName(), Address: v.GetAddress(), Identity: v.GetIdentity(), Retiring: v.GetRetiring()}
--- a/control/pkg/systemstate/state.go
+++ b/control/pkg/systemstate/state.go
@@ -19,6 +19,13 @@
 // response retry for some minutes at most.
 const closedJobRetention clock.Millis = 15 * 60 * 1000
 
+// jobOverhead and itemOverhead are about the bytes that a job and an item take beside their texts: in the state, in
+// checkpoints while they are written, and where the leader schedules them.
+const (
+	jobOverhead  = 1000
+	itemOverhead = 700
+)
+
 // Config connects the state to its record store and its observer.
 type Config struct {
 	// Append stores a record in a segment.
@@ -106,7 +113,9 @@
 	now    clock.Millis
 	table  *routing.Table
 	jobs   map[string]*Job
-	vms    map[string]*VM
+	// jobMemory is the sum of the jobs' memory.
+	jobMemory int64
+	vms       map[string]*VM
 	// quarantines are the quarantines of requests, newest last.
 	quarantines []crashes.Quarantine
 }
@@ -256,6 +265,7 @@
 	route, found := s.findBatchRoute(request.GetHost(), request.GetTarget())
 	team, allowed := s.authorizeJob(route, found, request.GetKey())
 	if !allowed {
+		s.deleteClosedJobs()
 		return toucanhingev1.SubmitOutcome_SUBMIT_OUTCOME_UNKNOWN_KEY
 	}
 	name := JobName(team, request.GetJob())
@@ -273,7 +283,7 @@
 	for _, item := range request.GetItems() {
 		j.Items = append(j.Items, Item{ID: item.GetId(), Tokens: item.GetTokens(), Request: s.config.Append(encode(item))})
 	}
-	s.jobs[name] = j
+	s.add(j)
 	s.notify(Change{Kind: JobAccepted, Job: name})
 	return toucanhingev1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED
 }
@@ -331,7 +341,25 @@
 			s.releaseParts(&j.Items[i])
 		}
 		delete(s.jobs, name)
+		s.jobMemory -= j.memory()
+	}
+}
+
+func (s *State) add(j *Job) {
+	s.jobs[j.Name] = j
+	s.jobMemory += j.memory()
+}
+
+// JobMemory returns about how much memory all jobs take, in bytes.
+func (s *State) JobMemory() int64 { return s.jobMemory }
+
+// memory returns about how much memory a job takes, in bytes. It is the same throughout the job's life.
+func (j *Job) memory() int64 {
+	bytes := jobOverhead + len(j.Name) + len(j.ID) + len(j.Team) + len(j.Host) + len(j.Target)
+	for i := range j.Items {
+		bytes += itemOverhead + len(j.Items[i].ID)
 	}
+	return int64(bytes)
 }
 
 func (s *State) release(ref segment.Ref) {
--- a/control/pkg/systemstate/state_test.go
+++ b/control/pkg/systemstate/state_test.go
@@ -167,6 +167,34 @@
 	})
 }
 
+// Guards against a core that refuses jobs for ever, or that takes too many after a restart: the memory of jobs must follow
+// their deletion, also when a job without a route or a key is submitted, and a restored state must know it.
+func TestMemoryOfJobsFollowsThem(t *testing.T) {
+	m := newTestMachine(t, t.TempDir())
+	memory := func() (bytes int64) {
+		m.View(func(s *State) { bytes = s.JobMemory() })
+		return bytes
+	}
+	apply(t, m, 1, tableStep(1, 0), jobStep("a", 2, 1), jobStep("a", 2, 1))
+	one := memory()
+	require.Greater(t, one, int64(jobOverhead+2*itemOverhead))
+	apply(t, m, 1, jobStep("b", 2, 1))
+	require.Equal(t, 2*one, memory())
+	manifest, err := m.Checkpoint()
+	require.NoError(t, err)
+	require.NoError(t, m.Load(manifest))
+	require.Equal(t, 2*one, memory())
+	apply(t, m, 2, finishStep("a", 0, "text"), finishStep("a", 1, "text"))
+	none := &toucanhingev1.SystemStep{Step: &toucanhingev1.SystemStep_AcceptJob{
+		AcceptJob: &toucanhingev1.AcceptJobStep{Job: &toucanhingev1.SubmitJobRequest{}},
+	}}
+	require.Equal(t, []any{toucanhingev1.SubmitOutcome_SUBMIT_OUTCOME_NO_ROUTE}, apply(t, m, int64(closedJobRetention)+2, none))
+	require.Equal(t, one, memory())
+	apply(t, m, 3, endStep("b"), keyedStep(2, 0, "key"))
+	require.Equal(t, []any{toucanhingev1.SubmitOutcome_SUBMIT_OUTCOME_UNKNOWN_KEY}, apply(t, m, int64(closedJobRetention)+3, none))
+	require.Zero(t, memory())
+}
+
 func TestRegisterAndRetireVM(t *testing.T) {
 	m := newTestMachine(t, t.TempDir())
 	register := func(identity string) *toucanhingev1.SystemStep {
