Limit the memory of bodies in the product's own gateway as well

What callers saw: the gateway of the demo ended by its memory under the same clients; its buffer also grew to an announced length before a byte had come.

Cause: the same as on the platform: each body was limited, their sum wasn't (4,000 requests of 4 MiB in progress).

--- a/gateway/pkg/app/components.go
+++ b/gateway/pkg/app/components.go
@@ -18,6 +18,7 @@
 	"toucanhinge.example/gateway/pkg/config"
 	"toucanhinge.example/gateway/pkg/control"
 	"toucanhinge.example/gateway/pkg/endpoint"
+	"toucanhinge.example/gateway/pkg/intake"
 	"toucanhinge.example/gateway/pkg/legacy"
 	"toucanhinge.example/gateway/pkg/limit"
 	"toucanhinge.example/gateway/pkg/online"
@@ -56,6 +57,7 @@
 			Claims:      claims,
 			Jobs:        control.NewJobs(control.JobsConfig{Gateway: settings.Name, Client: client, Groups: watcher.Groups}),
 			Limiter:     limit.New(limit.Config{MaxInFlight: settings.Limits.MaxInFlight}),
+			Memory:      intake.NewMemory(intake.MemoryConfig{Limit: settings.Limits.MemoryBytes, Logger: logger, Registerer: set.Registry}),
 			DecisionLog: decisionLog, Metrics: onlineMetrics, Logger: logger,
 		}),
 	}
--- a/gateway/pkg/caller/online.go
+++ b/gateway/pkg/caller/online.go
@@ -27,11 +27,12 @@
 		s.refuse(c, r)
 		return
 	}
-	body, r := s.readBody(c)
+	body, release, r := s.readBody(c)
 	if r != nil {
 		s.refuse(c, r)
 		return
 	}
+	defer release()
 	request, r := s.modelRequest(info, kind, body)
 	if r != nil {
 		s.refuse(c, r)
@@ -145,11 +146,12 @@
 		s.refuse(c, r)
 		return
 	}
-	body, r := s.readBody(c)
+	body, release, r := s.readBody(c)
 	if r != nil {
 		s.refuse(c, r)
 		return
 	}
+	defer release()
 	s.serve(c, info, &online.Request{
 		ID: info.id, CallerID: info.callerID, Team: info.team.Name, Service: service.Name,
 		Method: c.Request.Method, Path: plainPath(c), Headers: forwardedHeaders(c.Request.Header), Body: body,
--- a/gateway/pkg/caller/refusal.go
+++ b/gateway/pkg/caller/refusal.go
@@ -30,6 +30,7 @@
 	reasonTooLarge        = "too-large"
 	reasonCutBody         = "cut-body"
 	reasonSlowSender      = "slow-sender"
+	reasonMemoryFull      = "memory-full"
 	reasonUnknownModel    = "unknown-model"
 	reasonUnknownService  = "unknown-service"
 	reasonUnknownPath     = "unknown-path"
--- a/gateway/pkg/caller/server.go
+++ b/gateway/pkg/caller/server.go
@@ -17,6 +17,7 @@
 	"toucanhinge.example/gateway/pkg/config"
 	"toucanhinge.example/gateway/pkg/control"
 	"toucanhinge.example/gateway/pkg/endpoint"
+	"toucanhinge.example/gateway/pkg/intake"
 	"toucanhinge.example/gateway/pkg/legacy"
 	"toucanhinge.example/gateway/pkg/limit"
 	"toucanhinge.example/gateway/pkg/online"
@@ -37,6 +38,8 @@
 	Claims      *control.Claims
 	Jobs        *control.Jobs
 	Limiter     *limit.Limiter
+	// Memory limits the bodies of all requests together.
+	Memory      *intake.Memory
 	DecisionLog *record.Log
 	Metrics     *online.Metrics
 	Logger      log.Logger
--- a/gateway/pkg/config/config.go
+++ b/gateway/pkg/config/config.go
@@ -28,6 +28,7 @@
 // Limits bounds the resources that callers can occupy in the gateway.
 type Limits struct {
 	MaxBodyBytes        int   `toml:"body_bytes" doc:"maximum size of the body of one request"`
+	MemoryBytes         int64 `toml:"memory_bytes" doc:"maximum memory of the bodies of all requests together, including copies; a request that finds none is refused, or ends one whose body arrives slowly"`
 	MaxBatchLineBytes   int   `toml:"batch_line_bytes" doc:"maximum size of one line of a batch upload"`
 	MaxBatchItems       int   `toml:"batch_items" doc:"maximum items in one batch upload"`
 	ResponseBufferBytes int   `toml:"answer_bytes" doc:"maximum size of a non-streamed answer that is buffered until its end, so that a failure can still be retried; a longer answer is passed through"`
@@ -89,7 +90,7 @@
 		LogLevel:        "info",
 		DecisionLogSize: 20_000,
 		Limits: Limits{
-			MaxBodyBytes: 4 << 20, MaxBatchLineBytes: 1 << 20, MaxBatchItems: 1_000_000,
+			MaxBodyBytes: 4 << 20, MemoryBytes: 64 << 20, MaxBatchLineBytes: 1 << 20, MaxBatchItems: 1_000_000,
 			ResponseBufferBytes: 8 << 20, ResumeTextBytes: 256 << 10,
 			SenderTimeout: toMillis(10 * time.Second), ReaderTimeout: toMillis(30 * time.Second),
 			DefaultDeadline: toMillis(time.Minute), MaxDeadline: toMillis(30 * time.Minute),
--- a/gateway/pkg/config/validate.go
+++ b/gateway/pkg/config/validate.go
@@ -32,6 +32,7 @@
 
 func validateLimits(c *settings.Check, l Limits) {
 	positive(c, "limits.body_bytes", l.MaxBodyBytes)
+	positive(c, "limits.memory_bytes", l.MemoryBytes)
 	positive(c, "limits.batch_line_bytes", l.MaxBatchLineBytes)
 	positive(c, "limits.batch_items", l.MaxBatchItems)
 	positive(c, "limits.answer_bytes", l.ResponseBufferBytes)
--- a/lab/pkg/process/usage.go
+++ b/lab/pkg/process/usage.go
@@ -21,6 +21,8 @@
 	CPUTime time.Duration
 	// ResidentBytes is the current resident memory.
 	ResidentBytes int64
+	// PeakBytes is the most resident memory so far.
+	PeakBytes int64
 	// WrittenBytes is the number of bytes written to storage.
 	WrittenBytes int64
 }
@@ -41,11 +43,15 @@
 	if err != nil {
 		return Usage{}, err
 	}
+	peak, err := readField(folder+"/status", "VmHWM:")
+	if err != nil {
+		return Usage{}, err
+	}
 	written, err := readField(folder+"/io", "write_bytes:")
 	if err != nil {
 		return Usage{}, err
 	}
-	return Usage{CPUTime: cpuTime, ResidentBytes: resident * 1024, WrittenBytes: written}, nil
+	return Usage{CPUTime: cpuTime, ResidentBytes: resident * 1024, PeakBytes: peak * 1024, WrittenBytes: written}, nil
 }
 
 // readCPUTime reads the sum of user and system time. Its resolution is one tick of 10 ms, so
