Run the tests of crowds alone, one scenario a file

They measure the memory of processes beside crowds, so the test command runs them apart from all others, one after the other.

--- a/Makefile
+++ b/Makefile
@@ -21,12 +21,15 @@
 # taken from the cache: the failure tests start programs of other modules, whose
 # changes the cache doesn't see, so an old pass could stand for a new fault.
 # The replay runs each load in one goroutine; the race detector would make its minute ten.
+# Tests of crowds measure the memory of processes and run alone, one after the other.
+CROWDS := ^TestCrowd|^TestAcceptedJobsStay|^TestUnendedBodies
 test:
 	go vet work
 	@known=; if [ -s KNOWN-RED.txt ]; then echo "passed over:"; cat KNOWN-RED.txt; \
 	known=$$(cut -d: -f1 KNOWN-RED.txt | sed 's,/,$$/^,g; s/.*/^&$$/' | paste -sd'|'); fi; \
-	set -x; go test -race -count=1 -timeout 20m $${known:+-skip "$$known"} $$(go list work | grep -v /lab/pkg/replay$$) && \
-	go test -count=1 -timeout 20m $${known:+-skip "$$known"} ./lab/pkg/replay
+	set -x; go test -race -count=1 -timeout 20m -skip "$(CROWDS)$${known:+|$$known}" $$(go list work | grep -v /lab/pkg/replay$$) && \
+	go test -count=1 -timeout 20m $${known:+-skip "$$known"} ./lab/pkg/replay && \
+	go test -count=1 -timeout 20m -p 1 -run "$(CROWDS)" $${known:+-skip "$$known"} ./platform/e2e ./lab/failure
 
 lint:
 	@fumpt=$$(cd tools && GOWORK=off go tool gofumpt -l $(addprefix ../,$(MODULES)) | grep -v '/gen/'); \
--- a/gateway/pkg/intake/body.go
+++ b/gateway/pkg/intake/body.go
@@ -29,11 +29,11 @@
 		}
 		n, err := r.Read(free)
 		if full && n > 0 {
-			grown, growErr := growBody(ctx, hold, body, limit)
-			if growErr != nil {
+			var growErr error
+			if body, growErr = growBody(ctx, hold, body, limit); growErr != nil {
 				return nil, growErr
 			}
-			body = append(grown, next[0])
+			body = append(body, next[0])
 		} else if !full {
 			body = body[:len(body)+n]
 		}
--- a/gateway/pkg/intake/memory.go
+++ b/gateway/pkg/intake/memory.go
@@ -62,8 +62,9 @@
 type Phase string
 
 const (
-	// Reading and Writing requests wait for their caller, who may be slow.
+	// Reading requests wait for their caller, who may be slow.
 	Reading Phase = "reading"
+	// Writing requests wait for their caller to read the answer.
 	Writing Phase = "writing"
 	// Serving requests wait for the system. They aren't evicted.
 	Serving Phase = "serving"
--- a/gateway/pkg/intake/memory_test.go
+++ b/gateway/pkg/intake/memory_test.go
@@ -10,8 +10,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
-
-	"toucanhinge.example/common/pkg/clock"
 )
 
 const testLimit = 4 << 20
@@ -20,11 +18,11 @@
 	return NewMemory(MemoryConfig{Limit: testLimit, Logger: log.NewNopLogger(), Registerer: prometheus.NewRegistry()})
 }
 
-// age makes a request look as if its reading had begun earlier.
-func (h *Hold) age(by clock.Millis) {
+// makeSlow makes a request look as if its phase had begun earlier.
+func (h *Hold) makeSlow() {
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
-	h.since -= by
+	h.since -= slowAfter
 }
 
 // readerOf returns a request that gives its memory back as soon as it is told to.
@@ -68,7 +66,7 @@
 					h.BeginWriting()
 				}
 				if c.slow {
-					h.age(slowAfter)
+					h.makeSlow()
 				}
 			}
 			require.ErrorIs(t, readerOf(m).Grow(context.Background(), c.bytes), c.want)
@@ -82,7 +80,7 @@
 	evicted := make(chan struct{})
 	h := m.Open(func(Phase) { close(evicted) })
 	require.NoError(t, h.Grow(context.Background(), 2<<20))
-	h.age(slowAfter)
+	h.makeSlow()
 	result := make(chan error, 1)
 	go func() { result <- readerOf(m).Grow(context.Background(), 2<<20) }()
 	<-evicted
@@ -97,7 +95,7 @@
 	m := newTestMemory()
 	h := m.Open(func(Phase) {})
 	require.NoError(t, h.Grow(context.Background(), 3<<20))
-	h.age(slowAfter)
+	h.makeSlow()
 	start := time.Now()
 	require.ErrorIs(t, readerOf(m).Grow(context.Background(), 2<<20), ErrMemoryFull)
 	require.GreaterOrEqual(t, time.Since(start), evictionTimeout)
@@ -144,7 +142,7 @@
 			},
 			"age": func(*rapid.T) {
 				if h := pick(); h != nil {
-					h.age(slowAfter)
+					h.makeSlow()
 				}
 			},
 			"close": func(*rapid.T) {
