Half-close callers' connections as before, and end an eviction with its request

The HTTP server half-closes a connection before it closes one with unread bytes, so that a refusal isn't lost; behind the new connection type it couldn't. And an answer that was evicted right after its last byte would have ended the next answer on its connection.

TestConnectionIsHalfClosedBeforeItsEnd and TestEvictionEndsWithItsRequest guard against both; neither passes without the method and the reset.

--- a/gateway/pkg/intake/conn.go
+++ b/gateway/pkg/intake/conn.go
@@ -106,9 +106,22 @@
 		c.hold.Close()
 		c.hold = nil
 	}
+	// An answer that was evicted after its last byte was written must not end the next one.
+	c.stopped.Store(false)
+	c.deadlineSetAt = time.Time{}
 	c.inHead.Store(true)
 }
 
+// CloseWrite closes the connection for writing. The HTTP server does so before it closes a connection with unread bytes, so
+// that the answer isn't lost.
+func (c *Conn) CloseWrite() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	return tcp.CloseWrite()
+}
+
 type connKey struct{}
 
 // WithConn returns a context with the connection of a request. It is the ConnContext of the HTTP server that uses the
--- a/gateway/pkg/intake/gate_test.go
+++ b/gateway/pkg/intake/gate_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -229,3 +230,37 @@
 	s.gate.config.Memory.config.Limit = 1
 	require.False(t, answered(t, s.connect(t)))
 }
+
+// Guards against an answer that ends because the one before it on the connection was evicted when it was already written.
+func TestEvictionEndsWithItsRequest(t *testing.T) {
+	caller, gateway := net.Pipe()
+	t.Cleanup(func() { _ = caller.Close() })
+	c := newConn(gateway, New(Config{Logger: log.NewNopLogger(), Registerer: prometheus.NewRegistry()}).config.Memory)
+	c.begin().stop(Writing)
+	_, err := c.Write([]byte("evicted"))
+	require.ErrorIs(t, err, errStopped)
+	c.end()
+	go func() { _, _ = c.Write([]byte("next")) }()
+	read := make([]byte, 4)
+	_, err = io.ReadFull(caller, read)
+	require.NoError(t, err)
+	require.Equal(t, "next", string(read))
+}
+
+// Guards against a refusal that is lost because its connection is closed with unread bytes: the caller must be able to read
+// it to its end while it is still sending.
+func TestConnectionIsHalfClosedBeforeItsEnd(t *testing.T) {
+	s := startServer(t, 0)
+	caller := s.connect(t)
+	require.Eventually(t, func() bool { return s.inProgress() == 1 }, time.Second, time.Millisecond)
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	for conn := range s.gate.open {
+		c, ok := conn.(interface{ CloseWrite() error })
+		require.True(t, ok)
+		require.NoError(t, c.CloseWrite())
+	}
+	require.NoError(t, caller.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err := caller.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
