--- a/gateway/pkg/intake/gate_test.go
+++ b/gateway/pkg/intake/gate_test.go
@@ -241,6 +241,7 @@
 	require.ErrorIs(t, err, errStopped)
 	c.end()
 	go func() { _, _ = c.Write([]byte("next")) }()
+	require.NoError(t, caller.SetReadDeadline(time.Now().Add(time.Second)))
 	read := make([]byte, 4)
 	_, err = io.ReadFull(caller, read)
 	require.NoError(t, err)
