Let an announced trial of a part outlive the quarantine that is heard of again

What callers saw: a sound request refused after 1.5 s with prompt-part-suspected, although its part was free to be tried and nobody else asked.

Cause: a request that is to try a part announces it 0.2 s before. A daemon that hears meanwhile of the quarantine that it knows already, by a way that takes some milliseconds longer, takes it for a newer one, since it seems to end later. It then replaced the announced trial's number by that of the trial with which the quarantine had begun, and kept the time for which the result is awaited: the request no longer was the trial, and waited for it until it was refused.

Why it works: what repeats a quarantine, with the same count and the same first trial, leaves the trials as they are. Requests that crash runners by themselves have no announcements.

--- a/common/pkg/partcrashes/quarantine.go
+++ b/common/pkg/partcrashes/quarantine.go
@@ -66,9 +66,14 @@
 		return false
 	}
 	isNew := s.Quarantine.Count < quarantine.Count
-	trialUntil := s.TrialUntil
+	repeated := !isNew && s.Quarantine.Trial == quarantine.Trial
+	trialUntil, readyAt := s.TrialUntil, s.readyAt
 	m.setQuarantine(s, quarantine)
-	if quarantine.Trial != 0 {
+	switch {
+	case repeated:
+		// A trial that was announced since the quarantine began goes on.
+		s.TrialUntil, s.readyAt = trialUntil, readyAt
+	case quarantine.Trial != 0:
 		// The trial that began the quarantine may still run. Claims of others are void.
 		s.TrialUntil, s.trialID = trialUntil, quarantine.Trial
 	}
--- a/common/pkg/partcrashes/quarantined_test.go
+++ b/common/pkg/partcrashes/quarantined_test.go
@@ -121,6 +121,26 @@
 	require.Equal(t, 1, begun)
 }
 
+// Guards against a request that is refused behind its own announcement: the quarantine that ended is heard of once more, a few
+// milliseconds later by another way, between the announcement of the request's trial and its beginning.
+func TestAnnouncedTrialOutlivesRepeatedQuarantine(t *testing.T) {
+	const jitter clock.Millis = 5
+	f := quarantineAlone(t, "first", bad)
+	require.True(t, f.tryAndCrash(0, "first", bad))
+	c := Candidate{Request: crashes.FingerprintOf("", "", "sound", nil), Parts: []prompt.PartID{"first", bad}}
+	for until := f.now + 2*maxAlone; f.now < until && c.Trial == 0; f.now += recheckInterval {
+		if _, trials := f.Evaluate(f.now, c); len(trials) > 0 {
+			c.Trial = trials[0].ID
+		}
+	}
+	require.NotZero(t, c.Trial, "announced")
+	for _, q := range f.Quarantines() {
+		q.Until += jitter
+		f.ApplyQuarantine(f.now, q)
+	}
+	require.True(t, f.waitForTrial(&c, 3*claimDelay))
+}
+
 // Guards against a harmless part that stays blamed because the requests that were to try it found no runner.
 func TestTrialThatReachedNoRunnerDoesNotCount(t *testing.T) {
 	f := newFixture()
