Set a deadline only for answers that don't fit into the socket

Each answer set a deadline of writes, so a timer that fired ten seconds later on a kept connection: a wake-up for each request. An answer of up to 16 KiB fits into the socket and can't be blocked by a caller who doesn't read. The deadline is cleared at the end of its request.

Not measured by itself.

--- a/gateway/pkg/intake/conn.go
+++ b/gateway/pkg/intake/conn.go
@@ -16,6 +16,9 @@
 	writeTimeout = 10 * time.Second
 	// deadlineInterval is how often the deadline of writes is moved at most.
 	deadlineInterval = time.Second
+	// untimedBytes of an answer are written without a deadline. They fit into the socket, and each deadline is a timer: most
+	// answers are shorter.
+	untimedBytes = 16 << 10
 )
 
 var errStopped = errors.New("the request gave its memory back")
@@ -34,7 +37,8 @@
 	hold *Hold
 	// stopped is set when an answer that is being written must give its memory back.
 	stopped atomic.Bool
-	// deadlineSetAt is when the deadline of writes was last moved.
+	// written counts the bytes of the answer, and deadlineSetAt is when its deadline was last moved, zero if it has none.
+	written       int
 	deadlineSetAt time.Time
 }
 
@@ -62,11 +66,9 @@
 // Write implements net.Conn. It fails if the caller doesn't read.
 func (c *Conn) Write(p []byte) (n int, err error) {
 	for len(p) > 0 && err == nil {
-		if now := time.Now(); now.Sub(c.deadlineSetAt) > deadlineInterval || len(p) > writePiece {
-			c.deadlineSetAt = now
-			if err := c.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
-				return n, err
-			}
+		c.written += min(len(p), writePiece)
+		if err := c.moveDeadline(len(p) > writePiece); err != nil {
+			return n, err
 		}
 		if c.stopped.Load() {
 			return n, errStopped
@@ -79,6 +81,19 @@
 	return n, err
 }
 
+// moveDeadline moves the deadline of writes if it is due, or at once for a piece of a long write.
+func (c *Conn) moveDeadline(piece bool) error {
+	if c.written <= untimedBytes {
+		return nil
+	}
+	now := time.Now()
+	if !piece && now.Sub(c.deadlineSetAt) <= deadlineInterval {
+		return nil
+	}
+	c.deadlineSetAt = now
+	return c.SetWriteDeadline(now.Add(writeTimeout))
+}
+
 func (c *Conn) open() *Hold {
 	past := time.Unix(1, 0)
 	return c.memory.Open(func(p Phase) {
@@ -107,8 +122,12 @@
 		c.hold = nil
 	}
 	// An answer that was evicted after its last byte was written must not end the next one.
-	c.stopped.Store(false)
-	c.deadlineSetAt = time.Time{}
+	stopped := c.stopped.Swap(false)
+	if stopped || !c.deadlineSetAt.IsZero() {
+		// A deadline that can't be cleared belongs to a closed connection.
+		_ = c.SetWriteDeadline(time.Time{})
+	}
+	c.written, c.deadlineSetAt = 0, time.Time{}
 	c.inHead.Store(true)
 }
 
