Refuse answers whose heads have invalid field names

Callers and items got answers in whose heads a name held a blank, without that line, and with "Transfer-Encoding : chunked" a body with the sizes of its chunks in it, as complete.

Cause: the library's reader accepts blanks in names, joins a line that begins with a blank to the one before, and goes by the fields that are left. So a field that frames the body is lost, and whoever reads behind us may see another answer than the runner sent. To drop the line isn't enough: the framing may be wrong, so the whole answer is broken.

--- a/common/pkg/http1/head.go
+++ b/common/pkg/http1/head.go
@@ -7,10 +7,12 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 var (
 	errStatus      = errors.New("the answer has no valid status")
+	errFieldName   = errors.New("the answer has an invalid field name")
 	errInterimBody = errors.New("an interim answer announces a body")
 )
 
@@ -26,9 +28,23 @@
 	if status < http.StatusOK && !IsInterim(status) {
 		return fmt.Errorf("%w: %d", errStatus, status)
 	}
+	if err := CheckNames(header); err != nil {
+		return err
+	}
 	// An interim answer has no body. What it announces would be read as the next answer's head.
 	if length := header.Get("Content-Length"); IsInterim(status) && length != "" && length != "0" {
 		return fmt.Errorf("%w of %s bytes", errInterimBody, length)
 	}
 	return nil
 }
+
+// CheckNames returns an error if the header or trailer has a name that isn't one. The standard library accepts names with
+// blanks, among them "Transfer-Encoding ", which another reader may take for the field that frames the body.
+func CheckNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: %q", errFieldName, name)
+		}
+	}
+	return nil
+}
--- a/common/pkg/http1/head_test.go
+++ b/common/pkg/http1/head_test.go
@@ -24,6 +24,12 @@
 		{"the last interim status", 199, nil, nil},
 		{"sound", 200, http.Header{"Content-Length": {"5"}}, nil},
 		{"the last valid status", 599, nil, nil},
+		{"a blank in a name", 200, http.Header{"X B": {"1"}}, errFieldName},
+		{"a blank behind a name", 200, http.Header{"Transfer-Encoding ": {"chunked"}}, errFieldName},
+		{"a bell in a name", 200, http.Header{"X\aB": {"1"}}, errFieldName},
+		{"a zero byte in a name", 200, http.Header{"X\x00B": {"1"}}, errFieldName},
+		{"no name", 200, http.Header{"": {"1"}}, errFieldName},
+		{"interim, a blank in a name", 103, http.Header{"X B": {"1"}}, errFieldName},
 		{"above the valid statuses", 600, nil, nil},
 		{"the last that fits", 999, nil, nil},
 	} {
