--- a/common/pkg/http1/head.go
+++ b/common/pkg/http1/head.go
@@ -38,6 +38,11 @@
 	return nil
 }
 
+// Unframed reports whether only the end of the connection ends an answer.
+func Unframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // CheckNames returns an error if the header or trailer has a name that isn't one. The standard library accepts names with
 // blanks, among them "Transfer-Encoding ", which another reader may take for the field that frames the body.
 func CheckNames(header http.Header) error {
