Refuse broken answers of engines and plain services

The sidecar passed on an engine's or plain service's answer with the status 000 or 099, with blanks in the names of its head, and a part of an early answer whose connection ended under the request.

Cause: its client relies on the standard library's, which takes all of these (as the gateways' client of runners did). http1.Transport wraps it: heads, interim answers and trailers are checked once read, lines that begin with a blank on their way to the library, and the end of a connection is a plain end only if the request of the present call was sent.

Why it works: the call fails as any other that broke off after it was sent, so it may have run, and a stream is taken up where that is allowed. Sound answers are taken on connections that are kept, as TestTransportTakesSoundAnswers shows.

--- a/common/pkg/http1/fold.go
+++ b/common/pkg/http1/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -16,6 +17,8 @@
 type FoldCheck struct {
 	Source io.Reader
 
+	// mu lets a head begin while a read of an idle connection is under way.
+	mu     sync.Mutex
 	inHead bool
 	// status is the first digit of the answer's status, 0 until it is read.
 	status byte
@@ -25,6 +28,8 @@
 
 // Begin starts a head, whose first bytes may have been read and be buffered already.
 func (f *FoldCheck) Begin(buffered []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.startHead()
 	return f.check(buffered)
 }
@@ -36,6 +41,8 @@
 // Read implements io.Reader.
 func (f *FoldCheck) Read(p []byte) (int, error) {
 	n, err := f.Source.Read(p)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if foldErr := f.check(p[:n]); foldErr != nil {
 		return 0, foldErr
 	}
--- a/sidecar/pkg/engine/client.go
+++ b/sidecar/pkg/engine/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"toucanhinge.example/common/pkg/http1"
 )
 
 // RequestIDHeader carries the stream ID to the engine.
@@ -72,15 +74,14 @@
 func newHTTPClient(connections int, disableKeepAlives bool) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: http1.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			DisableKeepAlives:   disableKeepAlives,
-			DisableCompression:  true,
 			MaxIdleConnsPerHost: max(connections, 4),
 			IdleConnTimeout:     idleTimeout,
 			WriteBufferSize:     8 << 10,
 			ReadBufferSize:      8 << 10,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
