Refuse broken answers of the legacy system

Callers whose requests go to the legacy system got its broken answers as complete ones: a status of 000 or 099, heads with blanks in their names, and a part of an early answer whose connection ended under the request.

Cause: the forwarder relies on the standard library's client, as the sidecar did. It uses http1.Transport now.

Why it works: the result is that of any other answer that broke off: the request may have run, nothing is resent, and what has begun to reach the caller is cut, not ended.

--- a/gateway/pkg/legacy/forwarder.go
+++ b/gateway/pkg/legacy/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/http1"
 	"toucanhinge.example/gateway/pkg/attempt"
 	"toucanhinge.example/gateway/pkg/online"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
@@ -47,14 +48,13 @@
 	return &Forwarder{
 		config: config,
 		client: &http.Client{
-			Transport: &http.Transport{
+			Transport: http1.NewTransport(&http.Transport{
 				DialContext: dialer.DialContext,
 				// Go's HTTP client resends a request by itself if a reused connection turns out to be
 				// closed, but never on a new connection. The cost of new connections is acceptable
 				// because the legacy system will be switched off.
-				DisableKeepAlives:  true,
-				DisableCompression: true,
-			},
+				DisableKeepAlives: true,
+			}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
