Refuse broken answers that carry a list

The readers of the platform's lists, of runners and of VMs, took a list out of an answer with blanks in the names of its head or trailer, or one that stood behind an interim answer as its body. (They refused statuses other than 200 before; a list that is cut without a length is no JSON, and a page's framing was checked already.)

Cause: both rely on the standard library's client. They use http1.Transport now, and the list of VMs is read to its end before it is decoded.

Why it works: an unreadable list is an error as before, so the last good one stays in use.

--- a/control/pkg/app/components.go
+++ b/control/pkg/app/components.go
@@ -59,7 +59,7 @@
 	if settings.Platform.VMListURL != "" {
 		c.vmPoller = platform.New(platform.Config{
 			URL: settings.Platform.VMListURL, Interval: clock.Millis(settings.Platform.PollMS).Duration(),
-			HTTP: &http.Client{}, Fleet: gs.fleet, Logger: logger, Refused: set.Refused,
+			Fleet: gs.fleet, Logger: logger, Refused: set.Refused,
 		})
 	}
 	set.Registry.MustRegister(&stateCollector{groups: gs})
--- a/control/pkg/platform/poller.go
+++ b/control/pkg/platform/poller.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"toucanhinge.example/common/pkg/http1"
 	"toucanhinge.example/common/pkg/logs"
 	"toucanhinge.example/control/pkg/fleetstate"
 	"toucanhinge.example/control/pkg/group"
@@ -42,7 +43,6 @@
 	// URL returns, for a GET request, a JSON list of {"name", "state": "live"|"leaving"}.
 	URL      string
 	Interval time.Duration
-	HTTP     *http.Client
 	Fleet    *group.Fleet
 	Logger   log.Logger
 	// Refused counts failed requests and invalid lists; may be nil.
@@ -52,11 +52,12 @@
 // Poller polls the list while this replica leads group 0.
 type Poller struct {
 	config Config
+	http   *http.Client
 }
 
 // New returns a poller.
 func New(config Config) *Poller {
-	return &Poller{config: config}
+	return &Poller{config: config, http: &http.Client{Transport: http1.NewTransport(&http.Transport{})}}
 }
 
 type vm struct {
@@ -108,7 +109,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("request VM list: %w", err)
 	}
-	response, err := p.config.HTTP.Do(request)
+	response, err := p.http.Do(request)
 	if err != nil {
 		return nil, fmt.Errorf("request VM list: %w", err)
 	}
@@ -116,8 +117,12 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("status %d: %w", response.StatusCode, errInvalidList)
 	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
+		return nil, fmt.Errorf("read VM list: %w", err)
+	}
 	var list []vm
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+	if err := json.Unmarshal(data, &list); err != nil {
 		return nil, fmt.Errorf("%w: %w", errInvalidList, err)
 	}
 	return list, validateList(list)
--- a/control/pkg/platform/poller_test.go
+++ b/control/pkg/platform/poller_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"toucanhinge.example/common/pkg/clock"
+	"toucanhinge.example/common/pkg/http1test"
 	"toucanhinge.example/control/pkg/fleetstate"
 	"toucanhinge.example/control/pkg/group"
 	toucanhingev1 "toucanhinge.example/schema/gen/toucanhinge/v1"
@@ -41,7 +42,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go fleet.Steps.Run(ctx)
-	f.poller = New(Config{URL: server.URL, Interval: time.Second, HTTP: server.Client(), Fleet: fleet, Logger: log.NewNopLogger()})
+	f.poller = New(Config{URL: server.URL, Interval: time.Second, Fleet: fleet, Logger: log.NewNopLogger()})
 	return f
 }
 
@@ -98,6 +99,17 @@
 		f.serve = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
 		require.ErrorIs(t, f.poller.Poll(context.Background()), errInvalidList)
 	})
+	for _, c := range http1test.Brokens(`[{"name":"vm1","state":"leaving"}]`) {
+		if c.Server.Early {
+			continue
+		}
+		t.Run(c.Name, func(t *testing.T) {
+			f := newFixture(t)
+			f.poller.config.URL = "http://" + c.Server.Start(t)
+			require.Error(t, f.poller.Poll(t.Context()))
+			require.False(t, f.drained("vm1"))
+		})
+	}
 	t.Run("cancelled request", func(t *testing.T) {
 		f := newFixture(t)
 		ctx, cancel := context.WithCancel(context.Background())
