Break off answers of sidecars with an invalid status

A caller of the product's gateway got 200 for an answer whose status was 0 or an interim one, and its connection broke off without an answer for 1 to 99 and 1000: the server's library panics for statuses that don't fit into a status line.

Cause: the gateway takes the status out of the sidecar's frame unchecked, and a status of 0, which stands for a stream that was taken up without a head, is sent as 200.

Evidence: TestInvalidStatusOfSidecarIsBroken failed before in 13 of 14 cases (statuses 0, 1, 99, 100, 101, 199 and 1000, for a model and a plain service; only 1000 for a model was retried as an error of the engine).

Why it works: the attempt is broken, as by any other malformed frame: its run is cancelled, it may have run, and a retry follows where the request allows it. The reason is invalid-status.

--- a/gateway/pkg/app/broken_responses_test.go
+++ b/gateway/pkg/app/broken_responses_test.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// Guards against an answer without a valid status that callers get as a sound one, or that breaks off their connection. A
+// sidecar of an earlier release passes on what its engine sends.
+func TestInvalidStatusOfSidecarIsBroken(t *testing.T) {
+	for _, status := range []uint32{0, 1, 99, 100, 101, 199, 1000} {
+		for _, path := range []string{chatPath, visitPath} {
+			t.Run(fmt.Sprint(status, path), func(t *testing.T) {
+				run := func(_ context.Context, r *toucanhingev1.RunRequest, out *connect.ServerStream[toucanhingev1.Frame]) error {
+					b := frameBuilder{request: r}
+					return sendFrames(out, b.head(status, "text/plain"), b.data(1, "no answer"), b.end(1))
+				}
+				model, plain := newSidecar(t, "e1", service), newSidecar(t, "p1", plainName)
+				model.run, plain.run = run, run
+				g := startGateway(t, nil, model, plain)
+				r := g.send(http.MethodPost, path, streamBody)
+				require.False(t, r.cut)
+				require.GreaterOrEqual(t, r.status, http.StatusInternalServerError)
+				require.NotContains(t, r.body, "no answer")
+			})
+		}
+	}
+}
+
 func manyItems(count, size int) string {
 	var lines strings.Builder
 	for i := range count {
--- a/gateway/pkg/attempt/action.go
+++ b/gateway/pkg/attempt/action.go
@@ -61,6 +61,7 @@
 	ReasonMissingFrame     = "gap-in-answer"
 	ReasonFalseRefusal     = "false-refusal"
 	ReasonErrorStatus      = "endpoint-status"
+	ReasonInvalidStatus    = "invalid-status"
 	ReasonResumed          = "resumed"
 	ReasonNoEndpoint       = "no-endpoint"
 	// Reasons of dropped frames.
--- a/gateway/pkg/attempt/frames.go
+++ b/gateway/pkg/attempt/frames.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"net/http"
 	"slices"
 
 	"toucanhinge.example/common/pkg/clock"
@@ -34,7 +35,13 @@
 	m.mayHaveRun = true
 }
 
+// maxStatus is the largest status that fits into the three digits of a status line.
+const maxStatus = 999
+
 func (m *Machine) handleHead(now clock.Millis, f Frame, actions []Action) []Action {
+	if f.Status < http.StatusOK || f.Status > maxStatus {
+		return m.handleBroken(now, Event{Reason: ReasonInvalidStatus, Reached: true}, append(actions, m.cancelAction()))
+	}
 	if m.config.Model && f.Status >= 500 && !m.delivered && m.config.Idempotent && m.retryLeft(now) {
 		return m.handleBroken(now, Event{Reason: ReasonErrorStatus, Reached: true}, append(actions, m.cancelAction()))
 	}
