Refuse broken answers in the clients of tests and measurements

The stand-ins' client, the crowds', the load generator and the lab's caller took answers that no client may get for good, so a test could pass on one, and a measurement count it as served.

Cause: they rely on the standard library's client. They use http1.Transport now, or its check of heads.

--- a/lab/pkg/caller/caller.go
+++ b/lab/pkg/caller/caller.go
@@ -14,6 +14,8 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"toucanhinge.example/common/pkg/http1"
 )
 
 // Paths and headers of the gateway's HTTP API, and limits of this client.
@@ -61,10 +63,10 @@
 	config Config
 }
 
-// New returns a Caller. The default client is http.DefaultClient.
+// New returns a Caller. The default client refuses broken answers.
 func New(config Config) *Caller {
 	if config.Client == nil {
-		config.Client = http.DefaultClient
+		config.Client = &http.Client{Transport: http1.NewTransport(&http.Transport{})}
 	}
 	return &Caller{config: config}
 }
--- a/lab/pkg/load/call.go
+++ b/lab/pkg/load/call.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"toucanhinge.example/common/pkg/http1"
 )
 
 // Errors of a response.
@@ -39,11 +41,9 @@
 
 // NewClient returns an HTTP client that keeps up to the given number of idle connections.
 func NewClient(connections int) *http.Client {
-	transport := &http.Transport{
-		MaxIdleConns: connections, MaxIdleConnsPerHost: connections,
-		IdleConnTimeout: time.Minute, DisableCompression: true,
-	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: http1.NewTransport(&http.Transport{
+		MaxIdleConns: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute,
+	})}
 }
 
 // Outcome is the result of one call. Times are measured from its scheduled start.
--- a/lab/pkg/load/load_test.go
+++ b/lab/pkg/load/load_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"toucanhinge.example/common/pkg/http1test"
 	"toucanhinge.example/lab/pkg/engine"
 )
 
@@ -23,6 +24,28 @@
 	return Target{URL: server.URL, Client: NewClient(64)}
 }
 
+// Guards against a measurement that counts broken answers as served.
+func TestBrokenAnswersAreFailures(t *testing.T) {
+	const timeout = 5 * time.Second
+	const text = `data: {"choices":[{"delta":{"content":"x"},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n"
+	for _, c := range http1test.Brokens(text) {
+		// A stream ends with its end mark.
+		if c.HeadSound {
+			continue
+		}
+		t.Run(c.Name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			target := Target{URL: "http://" + c.Server.Start(t), Client: NewClient(1)}
+			outcome := target.Call(ctx, Request{Path: "/", ID: "q", Body: c.Request}, time.Now())
+			require.NoError(t, ctx.Err(), "the caller waits for more of a broken answer")
+			require.Error(t, outcome.Err)
+			require.False(t, outcome.Complete)
+			require.Zero(t, outcome.Status)
+		})
+	}
+}
+
 func TestScheduleIsDeterministicWithGivenMean(t *testing.T) {
 	for _, shape := range []Shape{Poisson(1), FrequentBursts, RareBursts} {
 		shape = shape.WithMean(200)
