State once how early answers are cut, and name the stand-ins' parts

Three tests listed the same ways to end a connection under an early answer; they share one list, with the calls that each needs. The check of folded lines no longer counts lines, which nothing asked for.

--- a/common/pkg/http1/fold.go
+++ b/common/pkg/http1/fold.go
@@ -22,8 +22,8 @@
 	inHead bool
 	// status is the first digit of the answer's status, 0 until it is read.
 	status byte
-	// line counts the lines of the head before the present one, column the bytes of the present one.
-	line, column int
+	// column counts the bytes of the present line.
+	column int
 }
 
 // Begin starts a head, whose first bytes may have been read and be buffered already.
@@ -35,7 +35,7 @@
 }
 
 func (f *FoldCheck) startHead() {
-	f.inHead, f.status, f.line, f.column = true, 0, 0, 0
+	f.inHead, f.status, f.column = true, 0, 0
 }
 
 // Read implements io.Reader.
@@ -75,7 +75,6 @@
 // endLine ends a line. An empty one ends the head, and the head of another answer follows an interim one.
 func (f *FoldCheck) endLine() {
 	if f.column > 0 {
-		f.line++
 		f.column = 0
 		return
 	}
--- a/common/pkg/http1/transport_test.go
+++ b/common/pkg/http1/transport_test.go
@@ -115,21 +115,11 @@
 
 // Guards against a part of an answer that counts as complete since its connection ended, although the request was cut.
 func TestTransportRefusesUnframedAnswersToCutUploads(t *testing.T) {
-	// Whether reader or writer meets a reset first differs from call to call.
-	const calls = 10
-	for _, c := range []struct {
-		name  string
-		end   func(*net.TCPConn, *http.Request)
-		calls int
-	}{
-		{"reset", http1test.Reset, calls},
-		{"closed", http1test.Close, calls},
-		{"closed for sending", http1test.CloseSending, 1},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			s := &http1test.Server{Answers: []string{okLine + "\r\npart"}, Early: true, End: c.end}
+	for _, c := range http1test.Cuts() {
+		t.Run(c.Name, func(t *testing.T) {
+			s := &http1test.Server{Answers: []string{okLine + "\r\npart"}, Early: true, End: c.End}
 			client, address := &http.Client{Transport: NewTransport(&http.Transport{})}, s.Start(t)
-			for range c.calls {
+			for range c.Calls {
 				_, err := call(t, client, address, make([]byte, http1test.LongBytes))
 				require.Error(t, err)
 			}
--- a/common/pkg/http1test/broken.go
+++ b/common/pkg/http1test/broken.go
@@ -6,8 +6,8 @@
 	"net/http"
 )
 
-// Broken is an answer that no reader may take.
-type Broken struct {
+// BrokenAnswer is an answer that no reader may take.
+type BrokenAnswer struct {
 	Name   string
 	Server *Server
 	// Request is the body of the request to send. It is long if the answer is broken only while its request is being sent.
@@ -16,12 +16,12 @@
 	HeadSound bool
 }
 
-// Brokens returns an answer broken in each way, with a body that its reader would take.
-func Brokens(body string) []Broken {
+// BrokenAnswers returns an answer broken in each way, with a body that its reader would take.
+func BrokenAnswers(body string) []BrokenAnswer {
 	const ok, none, interim = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 000 None\r\n", "HTTP/1.1 103 Early Hints\r\n"
 	sized := sized(body)
 	question := []byte("{}")
-	var list []Broken
+	var list []BrokenAnswer
 	for _, c := range []struct{ name, answer string }{
 		{"status 000", none + sized},
 		{"status 000 and another answer", none + "\r\n" + ok + sized},
@@ -33,22 +33,34 @@
 		{"a blank in a name of an interim answer", interim + "X B: 1\r\n\r\n" + ok + sized},
 		{"a bell in a name", ok + "X\aB: 1\r\n" + sized},
 	} {
-		list = append(list, Broken{Name: c.name, Server: &Server{Answers: []string{c.answer}}, Request: question})
+		list = append(list, BrokenAnswer{Name: c.name, Server: &Server{Answers: []string{c.answer}}, Request: question})
 	}
 	length := &Server{Answers: []string{ok + "Content-Length : 1\r\n\r\n" + body}, End: Close}
-	list = append(list, Broken{Name: "a blank behind the name of the length", Server: length, Request: question})
+	list = append(list, BrokenAnswer{Name: "a blank behind the name of the length", Server: length, Request: question})
 	trailer := &Server{Answers: []string{ok + "Transfer-Encoding: chunked\r\n\r\n" + chunks(body) + "X B: 1\r\n\r\n"}}
-	list = append(list, Broken{Name: "a blank in a name of a trailer", Server: trailer, Request: question, HeadSound: true})
-	for _, c := range []struct {
-		name string
-		end  func(*net.TCPConn, *http.Request)
-	}{{"reset", Reset}, {"closed", Close}, {"closed for sending", CloseSending}} {
-		server := &Server{Answers: []string{ok + "\r\n" + body}, Early: true, End: c.end}
-		list = append(list, Broken{Name: "an early answer, " + c.name, Server: server, Request: make([]byte, LongBytes), HeadSound: true})
+	list = append(list, BrokenAnswer{Name: "a blank in a name of a trailer", Server: trailer, Request: question, HeadSound: true})
+	for _, c := range Cuts() {
+		server := &Server{Answers: []string{ok + "\r\n" + body}, Early: true, End: c.End}
+		list = append(list, BrokenAnswer{Name: "an early answer, " + c.Name, Server: server, Request: make([]byte, LongBytes), HeadSound: true})
 	}
 	return list
 }
 
+// Cut is a way to end the connection of an early answer under its request.
+type Cut struct {
+	Name string
+	End  func(*net.TCPConn, *http.Request)
+	// Calls is how many calls show what a client makes of it: which of its reader and writer meets a reset first differs from
+	// call to call.
+	Calls int
+}
+
+// Cuts returns the ways to end the connection of an early answer under its request.
+func Cuts() []Cut {
+	const calls = 10
+	return []Cut{{"reset", Reset, calls}, {"closed", Close, calls}, {"closed for sending", CloseSending, 1}}
+}
+
 // sized returns the end of a head that announces a body, and the body.
 func sized(body string) string {
 	return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
--- a/control/pkg/platform/poller_test.go
+++ b/control/pkg/platform/poller_test.go
@@ -99,7 +99,7 @@
 		f.serve = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
 		require.ErrorIs(t, f.poller.Poll(context.Background()), errInvalidList)
 	})
-	for _, c := range http1test.Brokens(`[{"name":"vm1","state":"leaving"}]`) {
+	for _, c := range http1test.BrokenAnswers(`[{"name":"vm1","state":"leaving"}]`) {
 		if c.Server.Early {
 			continue
 		}
--- a/gateway/pkg/legacy/broken_answer_test.go
+++ b/gateway/pkg/legacy/broken_answer_test.go
@@ -15,7 +15,7 @@
 // Guards against broken answers that callers get as complete ones of the legacy system.
 func TestBrokenAnswersAreNotComplete(t *testing.T) {
 	const timeout clock.Millis = 5000
-	for _, c := range http1test.Brokens("{}") {
+	for _, c := range http1test.BrokenAnswers("{}") {
 		t.Run(c.Name, func(t *testing.T) {
 			now := clock.System()
 			request := &online.Request{Method: "POST", Path: "/", Body: c.Request, Deadline: now.Now() + timeout}
--- a/lab/pkg/load/load_test.go
+++ b/lab/pkg/load/load_test.go
@@ -28,7 +28,7 @@
 func TestBrokenAnswersAreFailures(t *testing.T) {
 	const timeout = 5 * time.Second
 	const text = `data: {"choices":[{"delta":{"content":"x"},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n"
-	for _, c := range http1test.Brokens(text) {
+	for _, c := range http1test.BrokenAnswers(text) {
 		// A stream ends with its end mark.
 		if c.HeadSound {
 			continue
--- a/sidecar/pkg/engine/broken_answer_test.go
+++ b/sidecar/pkg/engine/broken_answer_test.go
@@ -16,7 +16,7 @@
 func TestBrokenAnswersAreRefused(t *testing.T) {
 	const timeout = 5 * time.Second
 	for _, once := range []bool{false, true} {
-		for _, c := range http1test.Brokens("{}") {
+		for _, c := range http1test.BrokenAnswers("{}") {
 			name := c.Name + ", idempotent"
 			if once {
 				name = c.Name + ", once"
@@ -41,7 +41,7 @@
 
 // Guards against an engine that counts as healthy, or an order as taken, by a broken answer.
 func TestBrokenAnswersToControlCallsAreRefused(t *testing.T) {
-	for _, c := range http1test.Brokens("{}") {
+	for _, c := range http1test.BrokenAnswers("{}") {
 		if c.Server.Early {
 			continue
 		}
